Add the design page, leaf packages and the build scripts

Cause: nothing exists yet; the parts that are written side by side need one page with interfaces, owners of state and messages, and shared leaf types. Ruled out: deciding the hard points inside each package, which would leave the interfaces to chance. Conclusion: the packages of sections 5.1 to 5.9 can start.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,24 @@
+GO      ?= go
+PROGRAMS = hornbeamway hornbeamctl hornbeamstandin hornbeamlab
+
+.PHONY: build test race lint demo bench chaos fuzz
+
+build: ## builds all programs into bin/
+	$(GO) build -o bin/ $(addprefix ./cmd/,$(PROGRAMS))
+
+test: ## runs all tests with the race detector; seeds are fixed and printed
+	$(GO) test -race -count=1 ./...
+
+lint: ## formatter, vet and staticcheck
+	@unformatted=$$(gofmt -l cmd pkg internal); test -z "$$unformatted" || { echo "gofmt: $$unformatted"; exit 1; }
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
+
+demo: build ## two regions on loopback, traffic of all classes, one preset change, a report
+	bin/hornbeamlab demo --bin bin
+
+bench: build ## measures policies and added latency
+	bin/hornbeamlab bench --bin bin
+
+chaos: build ## two minutes of faults under load
+	bin/hornbeamlab chaos --bin bin
--- /dev/null
+++ b/cmd/hornbeamctl/main.go
@@ -0,0 +1,4 @@
+// Command hornbeamctl is a placeholder until its package exists.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/hornbeamlab/main.go
@@ -0,0 +1,4 @@
+// Command hornbeamlab is a placeholder until its package exists.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/hornbeamway/main.go
@@ -0,0 +1,4 @@
+// Command hornbeamway is a placeholder until its package exists.
+package main
+
+func main() {}
--- /dev/null
+++ b/pkg/problem/write.go
@@ -0,0 +1,23 @@
+package problem
+
+import (
+	"encoding/json"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Write replaces resp with the problem as an application/problem+json answer.
+func Write(resp *fasthttp.Response, p *Problem) {
+	resp.Reset()
+	resp.SetStatusCode(p.Status)
+	resp.Header.SetContentType(ContentType)
+	if p.RetryAfter > 0 {
+		resp.Header.Set(fasthttp.HeaderRetryAfter, p.RetryAfterSeconds())
+	}
+	body, err := json.Marshal(p)
+	if err != nil {
+		// All fields are strings and numbers, so Marshal cannot fail.
+		body = []byte(`{}`)
+	}
+	resp.SetBodyRaw(body)
+}
--- /dev/null
+++ b/pkg/strictjson/decode_test.go
@@ -0,0 +1,54 @@
+package strictjson_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hornbeamway/hornbeamway/pkg/strictjson"
+	"github.com/hornbeamway/hornbeamway/pkg/unit"
+)
+
+func TestStrictJSON(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "strictjson")
+}
+
+type document struct {
+	Wait  unit.Duration `json:"wait"`
+	Body  unit.Size     `json:"body"`
+	Rate  unit.BitRate  `json:"rate"`
+	Count int           `json:"count"`
+	Inner struct {
+		Name string `json:"name"`
+	} `json:"inner"`
+}
+
+// Guards against a misspelt or ambiguous setting that is silently ignored.
+var _ = DescribeTable("refuses a faulty document with its place",
+	func(text, message string) {
+		var d document
+		err := strictjson.Decode([]byte(text), &d)
+		Expect(err).To(HaveOccurred())
+		Expect(err.Error()).To(ContainSubstring(message))
+	},
+	Entry("unknown key", "{\n  \"wiat\": \"1s\"\n}", `line 2, column 3: unknown key "wiat"`),
+	Entry("duplicate key", "{\"count\": 1,\n \"count\": 2}", `line 2, column 2: duplicate key "count"`),
+	Entry("nested duplicate", "{\"inner\": {\"name\": \"a\", \"name\": \"b\"}}", `duplicate key "name"`),
+	Entry("duration without unit", "{\"wait\": 5}", `line 1, column 10: "5" is not a duration`),
+	Entry("unknown unit", "{\"wait\": \"5 parsecs\"}", `"5 parsecs" is not a duration`),
+	Entry("negative duration", "{\"wait\": \"-5s\"}", `"-5s" is not a duration`),
+	Entry("size without unit", "{\"body\": \"12\"}", `"12" is not a size`),
+	Entry("rate in bytes", "{\"rate\": \"30MB/s\"}", `"30MB/s" is not a bit rate`),
+	Entry("wrong type", "{\n\"count\": \"x\"}", `count: want int, got string`),
+	Entry("broken syntax", "{\"count\": }", `line 1`),
+)
+
+var _ = It("accepts comments, trailing commas and units", func() {
+	var d document
+	Expect(strictjson.Decode([]byte("{ // comment\n\"wait\": \"250ms\", \"body\": \"64KiB\", \"rate\": \"30Mbit/s\",}"), &d)).To(Succeed())
+	Expect(d.Wait.Std().Milliseconds()).To(BeEquivalentTo(250))
+	Expect(d.Body).To(BeEquivalentTo(65536))
+	Expect(d.Rate.BytesPerSecond()).To(BeNumerically("==", 3.75e6))
+})
