--- /dev/null
+++ b/pkg/preset/events.go
@@ -0,0 +1,27 @@
+package preset
+
+// eventRingSize is the number of latest events kept for those who wait for the outcome of a record.
+const eventRingSize = 256
+
+// eventRing keeps the latest events by record id. The owner's lock guards it.
+type eventRing struct {
+	events [eventRingSize]Event
+	count  int
+}
+
+func newEventRing() *eventRing { return &eventRing{} }
+
+func (r *eventRing) add(e Event) {
+	r.events[r.count%eventRingSize] = e
+	r.count++
+}
+
+// find returns the first kept event of the record with the given id.
+func (r *eventRing) find(recordID string) (Event, bool) {
+	for i := max(r.count-eventRingSize, 0); i < r.count; i++ {
+		if e := r.events[i%eventRingSize]; e.RecordID == recordID {
+			return e, true
+		}
+	}
+	return Event{}, false
+}
--- /dev/null
+++ b/pkg/preset/suite_test.go
@@ -0,0 +1,30 @@
+package preset_test
+
+import (
+	"os"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hornbeamway/hornbeamway/pkg/preset"
+)
+
+func TestPreset(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "preset")
+}
+
+// Guards against sample files that a deployment cannot start with.
+var _ = DescribeTable("validates the sample presets",
+	func(deployment string) {
+		data, err := os.ReadFile("../../samples/" + deployment + "/presets.json")
+		Expect(err).NotTo(HaveOccurred())
+		f, err := preset.ParseFile(data)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(f.Active).To(Equal("ordinary"))
+		Expect(f.Presets).To(HaveLen(3))
+	},
+	Entry("Balisage", "balisage"),
+	Entry("Imbuto", "imbuto"),
+)
