peer: add JSON-RPC control connections between entry VMs

Cause: entry VMs exchange heartbeats, configuration and grants and need one authenticated, bounded channel. Ruled out: TCP keep-alive for silent connections (about 200 B/s per node at 16 VMs); call timeouts and TCP_USER_TIMEOUT find them instead. Ruled out: the codec of the library, which has no frame limit. Conclusion: usable by the other packages.

--- /dev/null
+++ b/pkg/peer/server.go
@@ -0,0 +1,241 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"log"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/jsonrpc2"
+	"k8s.io/klog/v2"
+)
+
+// handler decodes parameters and runs a registered function.
+type handler func(ctx context.Context, params json.RawMessage) (any, error)
+
+// Server accepts control connections of other entry VMs.
+type Server struct {
+	options Options
+	meter   *meter
+
+	mu       sync.RWMutex
+	handlers map[string]handler
+	sessions map[*session]struct{}
+	listener net.Listener
+	closed   bool
+	done     sync.WaitGroup
+}
+
+// NewServer returns a server without handlers.
+func NewServer(o Options) *Server {
+	o = o.withDefaults()
+	return &Server{options: o, meter: newMeter(o.Metrics, "server"), handlers: map[string]handler{},
+		sessions: map[*session]struct{}{}}
+}
+
+// Handle registers f for a method. Calls run concurrently, at most Options.Calls per connection. Notifications run one
+// after another in the order received, so f must not block when the method is used for notifications. An error of f is
+// sent to the caller as text and arrives as ErrRemote.
+func Handle[Req, Resp any](s *Server, method string, f func(context.Context, Req) (Resp, error)) {
+	h := func(ctx context.Context, params json.RawMessage) (any, error) {
+		var req Req
+		if err := decodeParams(params, &req); err != nil {
+			return nil, err
+		}
+		return f(ctx, req)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.handlers[method] = h
+}
+
+// decodeParams decodes the parameters of a request; missing parameters leave v at its zero value.
+func decodeParams(params json.RawMessage, v any) error {
+	if len(params) == 0 {
+		return nil
+	}
+	if err := json.Unmarshal(params, v); err != nil {
+		return &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
+	}
+	return nil
+}
+
+// Serve accepts connections until Close. It returns nil after Close.
+func (s *Server) Serve(l net.Listener) error {
+	s.mu.Lock()
+	if s.closed {
+		s.mu.Unlock()
+		return errors.CombineErrors(ErrClosed, l.Close())
+	}
+	s.listener = l
+	s.mu.Unlock()
+	for {
+		raw, err := l.Accept()
+		if err == nil {
+			s.accept(raw)
+			continue
+		}
+		if s.isClosed() {
+			return nil
+		}
+		// Accepting fails for a while when file descriptors run out; the listener stays usable.
+		klog.ErrorS(err, "accept peer connection")
+		time.Sleep(acceptRetry)
+	}
+}
+
+// acceptRetry is the wait after a failed accept.
+const acceptRetry = 50 * time.Millisecond
+
+func (s *Server) isClosed() bool {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.closed
+}
+
+func (s *Server) accept(raw net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed || len(s.sessions) >= s.options.Connections {
+		_ = raw.Close()
+		return
+	}
+	ss := &session{server: s, conn: s.meter.wrap(raw, s.options.CallTimeout, 2*s.options.IdleTimeout),
+		codec: newCodec(helloFrameLimit), slots: make(chan struct{}, s.options.Calls)}
+	s.sessions[ss] = struct{}{}
+	s.done.Add(1)
+	go ss.serve()
+}
+
+// Close stops accepting, closes all connections and waits for the sessions to end.
+func (s *Server) Close() error {
+	s.mu.Lock()
+	s.closed = true
+	var err error
+	if s.listener != nil {
+		err = s.listener.Close()
+	}
+	for ss := range s.sessions {
+		_ = ss.conn.Close()
+	}
+	s.mu.Unlock()
+	s.done.Wait()
+	return err
+}
+
+// Traffic returns the traffic of all connections accepted so far.
+func (s *Server) Traffic() Traffic { return s.meter.traffic() }
+
+// Connections returns the number of open connections.
+func (s *Server) Connections() int {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return len(s.sessions)
+}
+
+// session is one accepted connection.
+type session struct {
+	server *Server
+	conn   *conn
+	codec  codec
+	slots  chan struct{}
+	caller atomic.Pointer[string] // nil before peer.hello
+}
+
+var discardLog = log.New(io.Discard, "", 0)
+
+func (ss *session) serve() {
+	defer ss.server.done.Done()
+	rpc := jsonrpc2.NewConn(context.Background(), jsonrpc2.NewBufferedStream(ss.conn, ss.codec), ss,
+		jsonrpc2.SetLogger(discardLog))
+	helloTimer := time.NewTimer(ss.server.options.DialTimeout)
+	defer helloTimer.Stop()
+	select {
+	case <-rpc.DisconnectNotify():
+	case <-helloTimer.C:
+		if ss.caller.Load() == nil {
+			_ = rpc.Close()
+		}
+		<-rpc.DisconnectNotify()
+	}
+	_ = ss.conn.Close()
+	ss.server.mu.Lock()
+	defer ss.server.mu.Unlock()
+	delete(ss.server.sessions, ss)
+}
+
+// Handle implements jsonrpc2.Handler. It runs on the connection's reader.
+func (ss *session) Handle(ctx context.Context, rpc *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	caller := ss.caller.Load()
+	if caller == nil {
+		ss.hello(ctx, rpc, req)
+		return
+	}
+	ctx = context.WithValue(ctx, callerKey{}, *caller)
+	if req.Notif {
+		if _, err := ss.run(ctx, req); err != nil {
+			klog.V(2).InfoS("peer notification failed", "peer", *caller, "method", req.Method, "err", err)
+		}
+		return
+	}
+	select {
+	case ss.slots <- struct{}{}:
+		go ss.answer(ctx, rpc, req)
+	default:
+		ss.refuse(ctx, rpc, req.ID, codeBusy, ErrBusy.Error())
+	}
+}
+
+func (ss *session) hello(ctx context.Context, rpc *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	var h hello
+	valid := req.Method == methodHello && !req.Notif && req.Params != nil && decodeParams(*req.Params, &h) == nil
+	if !equalSecrets(h.Secret, ss.server.options.Secret) || !valid {
+		klog.V(1).InfoS("peer connection refused", "remote", ss.conn.RemoteAddr(), "method", req.Method)
+		ss.refuse(ctx, rpc, req.ID, codeUnauthorized, ErrUnauthorized.Error())
+		_ = rpc.Close()
+		return
+	}
+	ss.codec.limit.Store(int64(ss.server.options.FrameLimit))
+	ss.caller.Store(&h.ID)
+	_ = rpc.Reply(ctx, req.ID, helloAnswer{ID: ss.server.options.ID})
+}
+
+func (ss *session) answer(ctx context.Context, rpc *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	defer func() { <-ss.slots }()
+	result, err := ss.run(ctx, req)
+	if err == nil {
+		err = rpc.Reply(ctx, req.ID, result)
+		if err == nil || !errors.Is(err, ErrFrame) {
+			return
+		}
+	}
+	var coded *jsonrpc2.Error
+	if errors.As(err, &coded) {
+		ss.refuse(ctx, rpc, req.ID, coded.Code, coded.Message)
+		return
+	}
+	ss.refuse(ctx, rpc, req.ID, jsonrpc2.CodeInternalError, err.Error())
+}
+
+func (ss *session) run(ctx context.Context, req *jsonrpc2.Request) (any, error) {
+	ss.server.mu.RLock()
+	h := ss.server.handlers[req.Method]
+	ss.server.mu.RUnlock()
+	if h == nil {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "no method " + req.Method}
+	}
+	var params json.RawMessage
+	if req.Params != nil {
+		params = *req.Params
+	}
+	return h(ctx, params)
+}
+
+func (ss *session) refuse(ctx context.Context, rpc *jsonrpc2.Conn, id jsonrpc2.ID, code int64, message string) {
+	_ = rpc.ReplyWithError(ctx, id, &jsonrpc2.Error{Code: code, Message: message})
+}
