Add operation tickets, the operation memory and the coordinator

Cause: non-idempotent operations must run at most once (design 5.7).

Change: tickets are signed with a key derived from the peer secret and checked by their issuer's own clock; the ledger remembers keys for the memory window; the coordinator locates, begins and ends operations.

Ruled out: one LRU list for expiry, because handed-over entries arrive with a shorter remaining window and would break its order; a wheel of seconds has none. Keys are kept as text, not as hashes, so that two keys never collide.

--- /dev/null
+++ b/pkg/operation/export_test.go
@@ -0,0 +1,25 @@
+package operation
+
+import "time"
+
+// SetBounds lowers the bounds of the ledger of a coordinator.
+func (c *Coordinator) SetBounds(entries, answerBytes int) {
+	c.ledger.maxEntries, c.ledger.maxAnswerBytes = entries, answerBytes
+}
+
+// BeginForTest starts a key that is always admitted.
+func (l *Ledger) BeginForTest(now time.Time, key string) (*Entry, Verdict) {
+	return l.begin(now, RangeOf(key), key, 1, now, func() Verdict { return Run })
+}
+
+// NotRunForTest removes a running entry.
+func (l *Ledger) NotRunForTest(e *Entry) { l.notRun(e) }
+
+// DecodeTicketForTest decodes an unsigned ticket.
+var DecodeTicketForTest = decodeTicket
+
+// MaxAnswerSizeForTest and WheelTickForTest are the bounds of an answer and the resolution of expiry.
+const (
+	MaxAnswerSizeForTest = maxAnswerSize
+	WheelTickForTest     = wheelTick
+)
