--- a/pkg/preset/fetch.go
+++ b/pkg/preset/fetch.go
@@ -7,6 +7,8 @@
 
 	"github.com/samber/lo"
 	"k8s.io/klog/v2"
+
+	"github.com/hornbeamway/hornbeamway/pkg/unit"
 )
 
 // NotePeer handles what a heartbeat says about a peer. A state with a higher version is fetched.
@@ -14,7 +16,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.reader.state
-	if n.Version > s.Version || ((f.reader.gap() || f.confirm.proposal != "") && n.Position > s.Position) {
+	if n.Version > s.Version || ((f.reader.gap() || f.bound()) && n.Position > s.Position) {
 		f.requestFetch(n.VM)
 	}
 }
@@ -41,6 +43,7 @@
 		for _, vm := range f.fetchTargets() {
 			f.fetch(ctx, vm)
 		}
+		f.askAll(ctx)
 	}
 }
 
@@ -54,8 +57,8 @@
 	if f.fetchFrom != "" {
 		targets, f.fetchFrom = []string{f.fetchFrom}, ""
 	}
-	inDoubt := f.confirm.proposal != "" && f.gate.boot() > f.doubtFrom()
-	if f.atEnd && !f.paused && !f.reader.gap() && !inDoubt {
+	inDoubt := f.nearDoubt()
+	if f.atEnd && !f.paused && !f.reader.gap() && !inDoubt && !f.settle.active {
 		return targets
 	}
 	others := lo.Without(lo.Uniq(slices.Concat(alive, listed)), self)
@@ -89,10 +92,14 @@
 	taken := f.reader.take(s)
 	if taken {
 		f.notePending()
-		f.heard = max(f.heard, sent)
+		f.news(sent)
 	}
+	f.noteAges(snapshot)
 	if snapshot.Sound && s.Position >= f.reader.state.Position && s.Version != NoVersion {
-		f.atEnd = true
+		f.started()
+		if snapshot.LogAge != nil {
+			f.news(sent - snapshot.LogAge.Std())
+		}
 		if sent >= f.resumed {
 			f.paused = false
 		}
@@ -107,5 +114,25 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	data, err := f.reader.state.Marshal()
-	return Snapshot{State: data, Sound: sound}, err
+	ages := make(map[string]unit.Duration, len(f.read))
+	for id, read := range f.read {
+		ages[id] = unit.Duration(f.clock.Now().Sub(read))
+	}
+	snapshot := Snapshot{State: data, Sound: sound, Ages: ages}
+	if f.contact > 0 {
+		age := unit.Duration(f.gate.boot() - f.contact)
+		snapshot.LogAge = &age
+	}
+	return snapshot, err
+}
+
+// noteAges moves the start of veto periods back to what a peer has seen, so that a period longer than the life of most
+// VMs ends. The peer's age is a lower bound: the answer took time to arrive.
+func (f *Follower) noteAges(snapshot Snapshot) {
+	now := f.clock.Now()
+	for id, age := range snapshot.Ages {
+		if read, ok := f.read[id]; ok && now.Add(-age.Std()).Before(read) {
+			f.read[id] = now.Add(-age.Std())
+		}
+	}
 }
--- a/pkg/preset/follower.go
+++ b/pkg/preset/follower.go
@@ -22,9 +22,14 @@
 	retryMax = time.Second
 	// doubtAfter is the time without news after which a VM stops to admit when it was paused or has confirmed.
 	doubtAfter = 3 * time.Second
+	// doubtNotice is the time before a doubt at which peers are asked.
+	doubtNotice = time.Second
 	// tickEvery is the time between two marks that the process runs. It is well below doubtAfter, so that a busy
 	// machine is not taken for a pause.
 	tickEvery = 500 * time.Millisecond
+	// settleTime is the time after a start or a pause in which a confirm round may be going on that does not include
+	// this VM: the list and heartbeats are seconds late.
+	settleTime = 10 * time.Second
 	// fetchTimeout bounds one fetch from a peer.
 	fetchTimeout = time.Second
 	// fetchPeers is the number of peers asked in one round when nothing is known about them.
@@ -61,10 +66,12 @@
 	tick    time.Duration // boot time of the last mark that the process ran
 	paused  bool          // a pause was found and the state is not checked yet
 	resumed time.Duration // boot time at which the pause was found
+	settle  settling
 	contact time.Duration // boot time at the start of the last read that was answered
 	heard   time.Duration // boot time of the latest news: contact or a peer with a later position
 
 	retention time.Duration
+	snapshot  time.Time     // when this VM last read a snapshot record
 	changed   chan struct{} // closed and replaced after each change
 	wake      chan struct{} // asks for a round of fetches
 	fetchFrom string        // peer that is known to be ahead; empty: any
@@ -97,7 +104,7 @@
 	defer f.mu.Unlock()
 	now := f.gate.boot()
 	switch {
-	case f.reader.gap() && f.atEnd:
+	case f.reader.gap():
 		return ReasonGap
 	case !f.atEnd:
 		return ReasonNotStarted
@@ -105,7 +112,7 @@
 		return ReasonNoConfiguration
 	case f.paused || now > f.tick+doubtAfter:
 		return ReasonStale
-	case f.confirm.proposal != "" && now > f.doubtFrom():
+	case f.bound() && now > f.doubtFrom():
 		return ReasonInDoubt
 	}
 	return ""
@@ -175,11 +182,21 @@
 	if !atEnd {
 		return nil
 	}
-	f.atEnd = true
+	f.started()
 	f.checked(sent)
 	return nil
 }
 
+// started notes that the state is complete for the first time. Peers are asked how long they hold what is pending.
+func (f *Follower) started() {
+	if f.atEnd {
+		return
+	}
+	f.atEnd = true
+	f.settle = settling{active: true, from: f.gate.boot()}
+	f.requestFetch("")
+}
+
 // checked notes an answer to a question that was sent at the given boot time: the state was current then.
 func (f *Follower) checked(sent time.Duration) {
 	f.contact = max(f.contact, sent)
@@ -189,6 +206,9 @@
 // news notes that a later or complete state was learnt from a question that was sent at the given boot time.
 func (f *Follower) news(sent time.Duration) {
 	f.heard = max(f.heard, sent)
+	if sent >= f.settle.from+settleTime {
+		f.settle.active = false
+	}
 	// An answer to a question from before the pause can be as old as the pause.
 	if sent >= f.resumed {
 		f.paused = false
@@ -202,6 +222,9 @@
 			klog.InfoS("configuration record", "kind", ev.Kind, "offset", ev.Offset, "proposal", ev.Proposal,
 				"object", ev.Object, "versionInForce", ev.InForce, "reason", ev.Reason)
 		}
+		if ev.Kind == Snapshotted {
+			f.snapshot = f.clock.Now()
+		}
 		f.events.add(ev)
 	}
 	f.notePending()
@@ -223,62 +246,6 @@
 	f.confirm.settle(f.reader.state)
 }
 
-// publish makes the state visible to InForce. The caller holds the lock.
-func (f *Follower) publish() {
-	f.gate.until.Store(int64(f.usableUntil()))
-	s := f.reader.state
-	if old := f.gate.effective.Load(); f.atEnd && s.Version != NoVersion && (old == nil || old.Version < s.Version) {
-		f.gate.effective.Store(&Effective{
-			Version: s.Version, ActiveVersion: s.ActiveVersion, ContentVersion: s.Presets[s.Active].Version,
-			Since: f.clock.Now(), Content: s.ActiveContent(),
-		})
-	}
-	close(f.changed)
-	f.changed = make(chan struct{})
-}
-
-// usableUntil is the boot time up to which the state may be used for admission.
-func (f *Follower) usableUntil() time.Duration {
-	if f.paused || f.reader.gap() {
-		return -1
-	}
-	until := f.tick + doubtAfter
-	if f.confirm.proposal != "" {
-		until = min(until, f.doubtFrom())
-	}
-	return until
-}
-
-// doubtFrom is the boot time from which a VM that has confirmed is in doubt.
-func (f *Follower) doubtFrom() time.Duration { return max(f.heard, f.confirm.at) + doubtAfter }
-
-// markTime is the goroutine that notices pauses of this process.
-func (f *Follower) markTime(ctx context.Context) {
-	for {
-		f.mark()
-		select {
-		case <-f.clock.After(tickEvery):
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
-func (f *Follower) mark() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	now := f.gate.boot()
-	if now-f.tick > doubtAfter && f.atEnd {
-		klog.InfoS("process was paused; checking the configuration before admitting", "pause", now-f.tick)
-		f.paused, f.resumed = true, now
-	}
-	f.tick = now
-	if f.paused || (f.confirm.proposal != "" && now > f.doubtFrom()) {
-		f.requestFetch("")
-	}
-	f.gate.until.Store(int64(f.usableUntil()))
-}
-
 func (f *Follower) jitter(low, high time.Duration) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/pkg/preset/peers.go
+++ b/pkg/preset/peers.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"encoding/json"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/hornbeamway/hornbeamway/pkg/unit"
 )
 
 // ErrPeer reports a peer that did not answer or answered something that cannot be used.
@@ -22,8 +25,10 @@
 
 // ConfirmAnswer is the answer to a ConfirmRequest.
 type ConfirmAnswer struct {
-	// Confirmed says that the VM holds the proposal in this round and that its veto period has passed there.
+	// Confirmed says that the VM holds the proposal in this round and is bound by it.
 	Confirmed bool `json:"confirmed"`
+	// Pending says that the proposal is undecided in this round as far as the VM has read, whether it confirms or not.
+	Pending bool `json:"pending"`
 	// Reason says why it is not confirmed.
 	Reason string `json:"reason,omitempty"`
 	// Position is the position of the VM in the log.
@@ -33,9 +38,13 @@
 // Snapshot is the state of a VM as another VM fetches it.
 type Snapshot struct {
 	// State is a marshalled State.
-	State []byte `json:"state"`
+	State json.RawMessage `json:"state"`
 	// Sound says that the VM itself may use the state for admission.
 	Sound bool `json:"sound"`
+	// LogAge is the time since the VM knew that it had read the whole log; absent when it never did.
+	LogAge *unit.Duration `json:"logAge,omitempty"`
+	// Ages are the times for which the VM, or one that it asked, has held each pending proposal.
+	Ages map[string]unit.Duration `json:"ages,omitempty"`
 }
 
 // Peers sends control messages to other entry VMs.
