--- /dev/null
+++ b/pkg/dispatch/poolchoice.go
@@ -0,0 +1,169 @@
+package dispatch
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/hornbeamway/hornbeamway/pkg/priority"
+)
+
+// bulkShare is the largest part of the slots that bulk holds even when nothing else waits: slots are not preempted, and
+// an urgent call may arrive at any moment.
+const bulkShare = 0.5
+
+// usable tells whether any server can take calls, now or when a slot is free.
+func (p *Pool) usable() bool {
+	for _, s := range p.servers {
+		if s.open() && !s.refused {
+			return true
+		}
+	}
+	return false
+}
+
+// rotation returns the slots that may be used now.
+func (p *Pool) rotation() int {
+	slots := 0
+	for _, s := range p.servers {
+		if s.inRotation() {
+			slots += s.Limit()
+		}
+	}
+	return slots
+}
+
+// allowed returns the classes that may get a slot now.
+func (p *Pool) allowed(now time.Time) priority.ClassSet {
+	var set priority.ClassSet
+	any, bulk := p.hasFree(now)
+	if !any && !bulk {
+		return 0
+	}
+	slots := p.rotation()
+	for _, c := range priority.Classes() {
+		if (any || c == priority.Bulk) && p.held[c] < p.classLimit(c, slots) {
+			set = set.With(c)
+		}
+	}
+	return set
+}
+
+// hasFree tells whether any class, or at least bulk, finds a free server.
+func (p *Pool) hasFree(now time.Time) (any, bulk bool) {
+	fallback := p.lastResort()
+	for _, s := range p.servers {
+		if s.trialDue(now, false) || (s.inRotation() || fallback && s.open() && !s.refused) && s.free() {
+			return true, true
+		}
+		bulk = bulk || s.trialDue(now, true)
+	}
+	return false, bulk
+}
+
+// classLimit returns the number of slots that class c may hold: 1 minus the shares of the other classes that wait.
+// The limits are rounded so that together they never leave a slot unused; each class may hold at least one slot.
+func (p *Pool) classLimit(c priority.Class, slots int) int {
+	part := 1.0
+	for _, other := range priority.Classes() {
+		if other != c && p.queue.Len(other) > 0 {
+			part -= p.shares[other]
+		}
+	}
+	const rounding = 1e-9 // 1 minus the shares is not exact in binary
+	if c == priority.Bulk {
+		return max(1, int(min(part, bulkShare)*float64(slots)+rounding))
+	}
+	return max(1, int(math.Ceil(part*float64(slots)-rounding)))
+}
+
+// choose returns the server for r, or nil when r may not use any of the free ones.
+func (p *Pool) choose(now time.Time, r *Request) *ServerState {
+	preferred := r.Class == priority.Bulk || r.Hedged
+	fallback := p.lastResort()
+	p.candidates = p.candidates[:0]
+	for _, s := range p.servers {
+		if slices.Contains(r.Exclude, s.server.ID) {
+			continue
+		}
+		if s.trialDue(now, preferred) {
+			return s
+		}
+		if (s.inRotation() || fallback && s.open() && !s.refused) && s.free() {
+			p.candidates = append(p.candidates, s)
+		}
+	}
+	if len(p.candidates) > 0 {
+		return p.selection.Select(now, p.candidates, r)
+	}
+	if len(r.Exclude) == 0 || r.Hedged {
+		return nil
+	}
+	again := *r
+	again.Exclude = nil
+	return p.choose(now, &again)
+}
+
+// lastResort tells whether ejected servers must be used because no other server is in rotation.
+func (p *Pool) lastResort() bool {
+	for _, s := range p.servers {
+		if s.inRotation() {
+			return false
+		}
+	}
+	return true
+}
+
+// expectedWait returns the expected wait of a new request of class c: by strict order behind all classes that are at
+// least as urgent, on the slots that the less urgent ones leave; or behind its own class on its minimum share, if that
+// is shorter.
+func (p *Pool) expectedWait(c priority.Class) time.Duration {
+	slots := float64(max(p.rotation(), 1))
+	if p.Queued() == 0 {
+		return p.waitOfFirst(slots, c)
+	}
+	ahead, left := 0.0, 1.0
+	for _, other := range priority.Classes() {
+		switch {
+		case other <= c:
+			ahead += float64(p.queue.Len(other)) * p.queue.MeanCost(other)
+		case p.queue.Len(other) > 0:
+			left -= p.shares[other]
+		}
+	}
+	wait := math.Inf(1)
+	if left > 0 {
+		wait = ahead / (slots * left)
+	}
+	if share := p.shares[c]; share > 0 {
+		wait = min(wait, float64(p.queue.Len(c))*p.queue.MeanCost(c)/(slots*share))
+	}
+	if math.IsInf(wait, 1) {
+		return math.MaxInt64
+	}
+	return time.Duration(wait * float64(time.Second))
+}
+
+// waitOfFirst returns the expected wait when nothing is queued: none with a free slot, else the time until the first of
+// the running calls ends.
+func (p *Pool) waitOfFirst(slots float64, c priority.Class) time.Duration {
+	busy := 0
+	for _, n := range p.held {
+		busy += n
+	}
+	if float64(busy) < slots {
+		return 0
+	}
+	return time.Duration(p.queue.MeanCost(c) / slots * float64(time.Second))
+}
+
+// Load returns what the pool tells about itself on answers.
+func (p *Pool) Load(now time.Time) Load {
+	l := Load{Healthy: p.usable(), Slots: p.rotation(), Queued: p.Queued(), At: now}
+	for _, c := range priority.Classes() {
+		l.Busy += p.held[c]
+		l.ExpectedWait[c] = p.expectedWait(c)
+		l.P95[c] = p.latency[c].percentile95(now)
+	}
+	return l
+}
