--- a/pkg/operation/ledger.go
+++ b/pkg/operation/ledger.go
@@ -20,8 +20,10 @@
 	ticketRange = RangeCount
 	// wheelTick is the resolution of expiry; an entry is dropped up to one tick late, never early.
 	wheelTick = time.Second
-	// wheelSlots covers the memory window plus the tick that is being filled and the one being emptied.
-	wheelSlots = int(MemoryWindow/wheelTick) + 2
+	// unknownWindow is the window of a key that may still run: a backend server may act on it until its deadline.
+	unknownWindow = MemoryWindow + MaxDeadline
+	// wheelSlots covers the longest window plus the tick that is being filled and the one being emptied.
+	wheelSlots = int(unknownWindow/wheelTick) + 2
 )
 
 // Verdict says what to do with a request that carries a key.
@@ -193,7 +195,7 @@
 	}
 	e.state = stateUnknown
 	l.expire(now)
-	l.schedule(e, now.Sub(l.start)+MemoryWindow)
+	l.schedule(e, now.Sub(l.start)+unknownWindow)
 }
 
 // notRun removes a running entry that is proved not to have run. False: the entry is no longer this ledger's to remove.
@@ -235,7 +237,7 @@
 	e.answer, e.kept = nil, nil
 }
 
-// schedule sets the end of the window of a finished entry, at most MemoryWindow ahead. The wheel must have been advanced
+// schedule sets the end of the window of a finished entry, at most unknownWindow ahead. The wheel must have been advanced
 // by expire, or the entry would share a slot with older ones and be dropped early.
 func (l *Ledger) schedule(e *Entry, expires time.Duration) {
 	e.expires = expires
--- /dev/null
+++ b/pkg/operation/ranges.go
@@ -0,0 +1,330 @@
+package operation
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/hornbeamway/hornbeamway/pkg/clock"
+	"github.com/hornbeamway/hornbeamway/pkg/platformlog"
+	"k8s.io/klog/v2"
+)
+
+const (
+	// pollInterval is the time between two reads of the stream. Long polls would wake every VM at every renewal.
+	pollInterval = time.Second
+	// maxSnapshotInterval bounds the time between snapshots when the log keeps records for long.
+	maxSnapshotInterval = 10 * time.Minute
+	// handoverWait is the time that running operations get to finish before their range is exported.
+	handoverWait = time.Second
+	// handoverTimeout bounds the transfer of all ranges that go to one VM.
+	handoverTimeout = 5 * time.Second
+	// handoverBackoff is the wait after a failed transfer.
+	handoverBackoff = 5 * time.Second
+)
+
+// ErrNoSuccessor reports a drain that ended before every range was handed over; the rest is taken over uncleanly.
+var ErrNoSuccessor = errors.New("key ranges not handed over")
+
+// RangeOptions are the parts of a RangeManager.
+type RangeOptions struct {
+	Clock  clock.Clock
+	Log    platformlog.Log
+	Peers  Peers
+	Ledger *Ledger
+	Self   Self
+	// Alive returns the ids of the entry VMs that are alive and not leaving, in all regions that this VM hears from.
+	Alive func() []string
+	// Go runs a transfer beside the manager's own goroutine. Default: a new goroutine.
+	Go func(func())
+}
+
+// hold is a range that this process owns by the log as far as it was read.
+type hold struct {
+	epoch     int64
+	leaseEnd  time.Time
+	cleanFrom time.Time
+}
+
+type process struct {
+	vm          string
+	incarnation uint64
+}
+
+// RangeManager keeps the leases of this VM's ranges and implements Ranges. Run is its only goroutine.
+type RangeManager struct {
+	RangeOptions
+	holdings atomic.Pointer[[RangeCount]Holding]
+	wake     chan struct{}
+
+	mu        sync.Mutex
+	table     Table
+	holds     map[int]*hold
+	stages    map[int]*stage
+	transfers map[int]*transfer
+	// sent is the time before the append of each recent record of this process, by sequence.
+	sent     map[uint64]time.Time
+	sequence uint64
+	// heard and changed are the times at which this VM read a process's last record and a range's last change.
+	heard   map[process]time.Time
+	changed [RangeCount]time.Time
+	// headSince is the time since which this VM has been at the log's head; zero while it is not.
+	headSince    time.Time
+	lastRenewal  time.Time
+	lastSnapshot time.Time
+	backoff      map[string]time.Time
+	draining     bool
+}
+
+// NewRangeManager returns a manager that owns nothing until Run has claimed ranges.
+func NewRangeManager(o RangeOptions) *RangeManager {
+	if o.Go == nil {
+		o.Go = func(f func()) { go f() }
+	}
+	m := &RangeManager{
+		RangeOptions: o,
+		wake:         make(chan struct{}, 1),
+		holds:        map[int]*hold{},
+		stages:       map[int]*stage{},
+		transfers:    map[int]*transfer{},
+		sent:         map[uint64]time.Time{},
+		heard:        map[process]time.Time{},
+		backoff:      map[string]time.Time{},
+	}
+	m.holdings.Store(&[RangeCount]Holding{})
+	return m
+}
+
+// Holding implements Ranges without a lock.
+func (m *RangeManager) Holding(keyRange int) Holding { return m.holdings.Load()[keyRange] }
+
+// Run keeps the leases until ctx ends.
+func (m *RangeManager) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		more, err := m.Step(ctx)
+		if err != nil {
+			klog.V(1).InfoS("operation log step failed", "err", err)
+		}
+		if more && err == nil {
+			continue
+		}
+		select {
+		case <-ctx.Done():
+		case <-m.wake:
+		case <-m.Clock.After(pollInterval):
+		}
+	}
+}
+
+// Step reads the stream once and acts on it. More says that there is more to read at once.
+func (m *RangeManager) Step(ctx context.Context) (more bool, err error) {
+	// Silence is measured up to the time before the read, so that a pause after the read looks like no silence.
+	before := m.Clock.Now()
+	batch, err := m.Log.Read(ctx, Stream, m.next(), 0)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if err != nil {
+		m.headSince = time.Time{}
+		return false, err
+	}
+	now := m.Clock.Now()
+	m.apply(now, batch)
+	if m.table.Next < batch.Next {
+		m.headSince = time.Time{}
+		return len(batch.Records) > 0, nil
+	}
+	if m.headSince.IsZero() {
+		m.headSince = now
+	}
+	return m.act(ctx, before, batch.Retention())
+}
+
+func (m *RangeManager) next() int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.table.Next
+}
+
+func (m *RangeManager) apply(now time.Time, batch platformlog.Batch) {
+	m.table.Skip(batch.First)
+	for _, r := range batch.Records {
+		e := m.table.Apply(r)
+		m.observe(now, &e)
+	}
+	m.publish()
+}
+
+// observe updates what this VM knows beside the table.
+func (m *RangeManager) observe(now time.Time, e *Event) {
+	if e.Kind == "" {
+		return
+	}
+	m.heard[process{e.VM, e.Incarnation}] = now
+	if e.Kind == KindSnapshot || e.Kind == KindReset {
+		m.lastSnapshot = now
+	}
+	if e.Loaded {
+		for r := range m.table.Ranges {
+			m.changed[r] = now
+			m.sync(now, r, nil, e)
+		}
+	}
+	for i := range e.Changes {
+		c := &e.Changes[i]
+		m.changed[c.Range] = now
+		m.sync(now, c.Range, c, e)
+	}
+	m.confirm(e)
+}
+
+// sync brings the hold of a range in line with the table.
+func (m *RangeManager) sync(now time.Time, r int, c *Change, e *Event) {
+	s := m.table.Ranges[r]
+	if !s.ownedBy(m.Self.VM, m.Self.Incarnation) {
+		m.lose(r, c, e)
+		return
+	}
+	if h := m.holds[r]; h != nil && h.epoch == s.Epoch {
+		return
+	}
+	m.holds[r] = &hold{epoch: s.Epoch, cleanFrom: m.takeMemory(now, r, c)}
+	m.endTransfer(r)
+}
+
+// takeMemory returns the time from which unfamiliar keys of a range that this VM has just got may run.
+func (m *RangeManager) takeMemory(now time.Time, r int, c *Change) time.Time {
+	st := m.stages[r]
+	delete(m.stages, r)
+	switch {
+	case c == nil:
+		// The change was read from a snapshot, so the range's history is not known.
+	case c.Previous.Epoch == 0:
+		return now
+	case st != nil && st.complete && c.Previous.Successor == m.Self.VM && c.Previous.Handover == st.handover:
+		m.Ledger.install(now, r, st.entries)
+		return st.windowEnd
+	}
+	klog.InfoS("key range taken over without its memory", "range", r, "window", UncleanWindow)
+	return now.Add(UncleanWindow)
+}
+
+// lose ends the hold of a range. After this VM's own release the successor has the memory. Received memory is dropped once
+// another VM has claimed the range after the release that belongs to it.
+func (m *RangeManager) lose(r int, c *Change, e *Event) {
+	if st := m.stages[r]; st != nil && c != nil && c.Previous.Handover == st.handover {
+		delete(m.stages, r)
+	}
+	if m.holds[r] == nil {
+		return
+	}
+	delete(m.holds, r)
+	if e.Kind == KindRelease {
+		m.Ledger.drop(r)
+	}
+	m.endTransfer(r)
+}
+
+// confirm extends the leases that a record of this process stands for. The lease counts from before the append was sent,
+// and only for ranges that the log gives to this process at that record.
+func (m *RangeManager) confirm(e *Event) {
+	if e.VM != m.Self.VM || e.Incarnation != m.Self.Incarnation {
+		return
+	}
+	sent, ok := m.sent[e.Sequence]
+	if !ok {
+		return
+	}
+	delete(m.sent, e.Sequence)
+	end := sent.Add(LeaseDuration)
+	switch e.Kind {
+	case KindRenew:
+		for _, h := range m.holds {
+			h.extend(end)
+		}
+	case KindClaim:
+		for _, c := range e.Changes {
+			if h := m.holds[c.Range]; h != nil {
+				h.extend(end)
+			}
+		}
+	}
+}
+
+func (h *hold) extend(end time.Time) {
+	if end.After(h.leaseEnd) {
+		h.leaseEnd = end
+	}
+}
+
+// publish makes the ownership visible to Holding.
+func (m *RangeManager) publish() {
+	var all [RangeCount]Holding
+	if m.table.Ready {
+		for r, s := range m.table.Ranges {
+			if s.VM == "" {
+				continue
+			}
+			all[r] = Holding{Known: true, Owner: Owner{VM: s.VM, Incarnation: s.Incarnation, Forward: s.Forward}}
+			if h := m.holds[r]; h != nil {
+				all[r].Owner.Local, all[r].LeaseEnd, all[r].CleanFrom = true, h.leaseEnd, h.cleanFrom
+			}
+		}
+	}
+	m.holdings.Store(&all)
+}
+
+// Receive stores a chunk that another VM hands over (Peers.Handover on the other side). Error: ErrHandoverRefused.
+func (m *RangeManager) Receive(c Chunk) error {
+	if c.Range < 0 || c.Range >= RangeCount || c.Handover == "" {
+		return errors.Wrapf(ErrHandoverRefused, "range %d, handover %q", c.Range, c.Handover)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	staged := len(c.Entries)
+	for _, s := range m.stages {
+		staged += len(s.entries)
+	}
+	if m.draining || staged > m.Ledger.room() {
+		return errors.Wrap(ErrHandoverRefused, "draining or memory full")
+	}
+	st := m.stages[c.Range]
+	if st == nil || (c.Index == 0 && st.handover != c.Handover) {
+		st = &stage{handover: c.Handover}
+		m.stages[c.Range] = st
+	}
+	return st.add(m.Clock.Now(), c)
+}
+
+// Drain implements Ranges. Run must go on meanwhile. Error: ErrNoSuccessor when ctx ends first.
+func (m *RangeManager) Drain(ctx context.Context) error {
+	m.mu.Lock()
+	m.draining = true
+	m.mu.Unlock()
+	for {
+		m.poke()
+		if m.held() == 0 {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Wrapf(ErrNoSuccessor, "%d ranges left", m.held())
+		case <-m.Clock.After(pollInterval / 10):
+		}
+	}
+}
+
+func (m *RangeManager) held() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.holds)
+}
+
+// poke makes Run step at once.
+func (m *RangeManager) poke() {
+	select {
+	case m.wake <- struct{}{}:
+	default:
+	}
+}
