Serve a call and a change of preset end to end as separate processes

Cause: the first milestone is the whole path, thin: caller -> entry VM -> backend server, and operator -> log -> veto period -> every entry VM. Ruled out: fasthttp's HostClient for the calls. It retries on its own, hides which connection it used and cannot prove that nothing was written; only the library's codec is used, on connections kept by package upstream.

--- /dev/null
+++ b/pkg/admin/server.go
@@ -0,0 +1,123 @@
+// Package admin serves the administration API, health checks and metrics on an address of its own.
+package admin
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+	"github.com/gofiber/fiber/v3"
+
+	"github.com/hornbeamway/hornbeamway/pkg/config"
+	"github.com/hornbeamway/hornbeamway/pkg/dispatch"
+	"github.com/hornbeamway/hornbeamway/pkg/membership"
+	"github.com/hornbeamway/hornbeamway/pkg/preset"
+	"github.com/hornbeamway/hornbeamway/pkg/vmlist"
+)
+
+// ErrServe reports an API server that ended with an error.
+var ErrServe = errors.New("administration API failed")
+
+// Limits of the API server.
+const (
+	// bodyLimit is the largest request body in bytes. A preset has at most 256 KiB.
+	bodyLimit = 1 << 20
+	// readTimeout and idleTimeout end slow and unused connections.
+	readTimeout = 10 * time.Second
+	idleTimeout = 60 * time.Second
+)
+
+// Members tells which VMs there are.
+type Members interface {
+	membership.View
+	Listed() []vmlist.VM
+	Servers() []vmlist.VM
+}
+
+// Pools tells the state of the pools that this VM dispatches.
+type Pools interface {
+	Runners() map[dispatch.PoolKey]*dispatch.Runner
+}
+
+// Options are the parts that the API shows and controls.
+type Options struct {
+	Credentials config.Credentials
+	Follower    *preset.Follower
+	Proposer    *preset.Proposer
+	Watcher     *preset.Watcher
+	Members     Members
+	Pools       Pools
+	// Ready reports whether this VM admits calls, and why not.
+	Ready func() (ok bool, reason string)
+}
+
+// Server serves the API. It is safe for concurrent use.
+type Server struct {
+	Options
+	app *fiber.App
+}
+
+// New returns a server.
+func New(o Options) *Server {
+	s := &Server{Options: o}
+	s.app = fiber.New(fiber.Config{
+		BodyLimit: bodyLimit, ReadTimeout: readTimeout, IdleTimeout: idleTimeout, ErrorHandler: answerError,
+	})
+	s.routes()
+	return s
+}
+
+func (s *Server) routes() {
+	s.app.Get("/livez", func(c fiber.Ctx) error { return c.SendString("ok\n") })
+	s.app.Get("/readyz", s.readyz)
+	s.app.Get("/metrics", writeMetrics)
+
+	v1 := s.app.Group("/v1", s.authenticate)
+	v1.Get("/status", s.status)
+	v1.Get("/presets", s.presets)
+	v1.Get("/presets/:name", s.preset)
+	v1.Get("/proposals", s.proposals)
+	v1.Get("/proposals/:id", s.progress)
+	v1.Get("/vms", s.vms)
+	v1.Get("/servers", s.servers)
+	v1.Post("/bootstrap", requireRole(Operator), s.bootstrap)
+	v1.Post("/proposals", requireRole(Operator), s.propose)
+	v1.Post("/proposals/:id/withdraw", requireRole(Operator), s.withdraw)
+	v1.Post("/proposals/:id/veto", requireRole(Customer), s.veto)
+}
+
+// Serve serves the API on l until Close. It returns nil after Close.
+func (s *Server) Serve(l net.Listener) error {
+	if err := s.app.Listener(l, fiber.ListenConfig{DisableStartupMessage: true}); err != nil {
+		return errors.Mark(err, ErrServe)
+	}
+	return nil
+}
+
+// closeTimeout bounds the end of requests in flight, such as a watch.
+const closeTimeout = 2 * time.Second
+
+// Close stops the server.
+func (s *Server) Close() error {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	if err := s.app.ShutdownWithContext(ctx); err != nil && !errors.Is(err, context.DeadlineExceeded) {
+		return errors.Mark(err, ErrServe)
+	}
+	return nil
+}
+
+func (s *Server) readyz(c fiber.Ctx) error {
+	if ok, reason := s.Ready(); !ok {
+		return c.Status(fiber.StatusServiceUnavailable).SendString(reason + "\n")
+	}
+	return c.SendString("ok\n")
+}
+
+func writeMetrics(c fiber.Ctx) error {
+	c.Set(fiber.HeaderContentType, "text/plain; version=0.0.4")
+	metrics.WritePrometheus(c.Response().BodyWriter(), true)
+	return nil
+}
--- /dev/null
+++ b/pkg/admin/view.go
@@ -0,0 +1,82 @@
+package admin
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/gofiber/fiber/v3"
+	"github.com/samber/lo"
+
+	"github.com/hornbeamway/hornbeamway/pkg/membership"
+	"github.com/hornbeamway/hornbeamway/pkg/vmlist"
+)
+
+func (s *Server) status(c fiber.Ctx) error {
+	state, _ := s.Follower.View()
+	follower := s.Follower.Status()
+	answer := Status{
+		VM: s.Members.Self().ID, Active: state.Active, Version: state.Version, ActiveVersion: state.ActiveVersion,
+		Reason: string(follower.Reason), LogAge: follower.LogAge,
+	}
+	if e := s.Follower.InForce(); e != nil {
+		answer.Since = e.Since
+	}
+	listed := lo.SliceToMap(s.Members.Listed(), func(v vmlist.VM) (string, bool) { return v.ID, true })
+	answer.Listed = len(listed)
+	answer.InForceOn = lo.CountBy(s.Members.Members(), func(m membership.Member) bool {
+		return listed[m.ID] && m.PresetVersion == state.Version
+	})
+	return c.JSON(answer)
+}
+
+func (s *Server) presets(c fiber.Ctx) error {
+	state, _ := s.Follower.View()
+	answer := make([]Preset, 0, len(state.Presets))
+	for name, v := range state.Presets {
+		answer = append(answer, Preset{Name: name, Version: v.Version, InForce: name == state.Active})
+	}
+	slices.SortFunc(answer, func(a, b Preset) int { return strings.Compare(a.Name, b.Name) })
+	return c.JSON(answer)
+}
+
+func (s *Server) preset(c fiber.Ctx) error {
+	state, _ := s.Follower.View()
+	name := c.Params("name")
+	v, ok := state.Presets[name]
+	if !ok {
+		return fiber.NewError(fiber.StatusNotFound, "no such preset")
+	}
+	return c.JSON(Preset{Name: name, Version: v.Version, InForce: name == state.Active, Content: v.Content})
+}
+
+func (s *Server) vms(c fiber.Ctx) error {
+	vms := map[string]VM{}
+	for _, v := range s.Members.Listed() {
+		vms[v.ID] = VM{ID: v.ID, Region: v.Region, DataCentre: v.DataCentre, State: "unknown", Listed: string(v.State)}
+	}
+	for _, m := range s.Members.Members() {
+		vms[m.ID] = VM{
+			ID: m.ID, Region: m.Region, DataCentre: m.DataCentre, State: m.State.String(),
+			PresetVersion: m.PresetVersion, Listed: vms[m.ID].Listed,
+		}
+	}
+	answer := lo.Values(vms)
+	slices.SortFunc(answer, func(a, b VM) int { return strings.Compare(a.ID, b.ID) })
+	return c.JSON(answer)
+}
+
+func (s *Server) servers(c fiber.Ctx) error {
+	states := map[string]*ServerState{}
+	for _, runner := range s.Pools.Runners() {
+		for _, state := range runner.Inspect() {
+			states[state.Server().ID] = newServerState(&state)
+		}
+	}
+	answer := lo.Map(s.Members.Servers(), func(v vmlist.VM, _ int) BackendServer {
+		return BackendServer{
+			ID: v.ID, Service: v.Service, DataCentre: v.DataCentre, Address: v.Address, Listed: string(v.State), State: states[v.ID],
+		}
+	})
+	slices.SortFunc(answer, func(a, b BackendServer) int { return strings.Compare(a.ID, b.ID) })
+	return c.JSON(answer)
+}
--- /dev/null
+++ b/pkg/proxy/proxy.go
@@ -0,0 +1,203 @@
+// Package proxy serves callers and the calls that other entry VMs forward: it admits a call, finds its route, lets the
+// owner run non-idempotent operations once, and brings the call to the dispatcher of a pool and to a backend server.
+package proxy
+
+import (
+	"context"
+	"crypto/subtle"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/hornbeamway/hornbeamway/pkg/clock"
+	"github.com/hornbeamway/hornbeamway/pkg/config"
+	"github.com/hornbeamway/hornbeamway/pkg/dispatch"
+	"github.com/hornbeamway/hornbeamway/pkg/operation"
+	"github.com/hornbeamway/hornbeamway/pkg/preset"
+	"github.com/hornbeamway/hornbeamway/pkg/priority"
+	"github.com/hornbeamway/hornbeamway/pkg/upstream"
+)
+
+// ErrServe reports a server that ended with an error.
+var ErrServe = errors.New("serving failed")
+
+// Pools gives slots of the backend servers whose pools this VM dispatches.
+type Pools interface {
+	dispatch.Dispatcher
+	// Load tells the state of a pool.
+	Load(key dispatch.PoolKey) (dispatch.Load, bool)
+}
+
+// Target is one way to a pool.
+type Target struct {
+	Pool dispatch.PoolKey
+	// VM and Forward name the dispatcher of the pool.
+	VM, Forward string
+	// Local says that this VM is the dispatcher.
+	Local bool
+	// OtherRegion says that the pool is behind the region link.
+	OtherRegion bool
+}
+
+// Placement finds the dispatchers of the pools of a service.
+type Placement interface {
+	// Targets returns the targets of a service, best first.
+	Targets(service string, class priority.Class) []Target
+	// Learn takes the load that a pool carried back on an answer.
+	Learn(pool dispatch.PoolKey, class priority.Class, expectedWait time.Duration)
+	// Suspect avoids a VM for a moment after a forwarded call failed.
+	Suspect(vm string)
+}
+
+// Pacer bounds the bytes that are sent over the region link.
+type Pacer interface {
+	Wait(ctx context.Context, class priority.Class, bytes int) error
+}
+
+// Observer takes the end of each call for the service-level objectives.
+type Observer interface {
+	Observe(service string, class priority.Class, latency time.Duration, ok bool)
+}
+
+// Options are the parts and settings of a Proxy.
+type Options struct {
+	Clock         clock.Clock
+	Limits        config.Limits
+	PeerKey       string
+	Configuration preset.Current
+	Pools         Pools
+	Placement     Placement
+	Operations    *operation.Coordinator
+	// Backends and Forward are the connections to backend servers and to other entry VMs.
+	Backends, Forward *upstream.Transport
+	Observer          Observer
+	// Pacer may be nil: no pacing.
+	Pacer Pacer
+	// Region is this VM's region.
+	Region string
+}
+
+// Proxy is the data path of an entry VM. It is safe for concurrent use.
+type Proxy struct {
+	Options
+	watcher  *disconnectWatcher
+	retries  *budgets
+	hedges   *budgets
+	callers  *fasthttp.Server
+	forward  *fasthttp.Server
+	draining atomic.Bool
+	inFlight atomic.Int64
+}
+
+// Shares of the traffic that may be spent on second attempts, and the burst in calls.
+const (
+	retryShare  = 0.1
+	hedgeShare  = 0.05
+	budgetBurst = 20
+)
+
+// forwardConcurrency is the largest number of calls that other entry VMs may have open here.
+const forwardConcurrency = 64 << 10
+
+// New returns a Proxy.
+func New(o Options) *Proxy {
+	p := &Proxy{
+		Options: o,
+		watcher: newDisconnectWatcher(),
+		retries: newBudgets(retryShare, budgetBurst),
+		hedges:  newBudgets(hedgeShare, budgetBurst),
+	}
+	p.callers = p.newServer(p.serveCaller, o.Limits.Connections)
+	p.forward = p.newServer(p.serveForwarded, forwardConcurrency)
+	return p
+}
+
+func (p *Proxy) newServer(h fasthttp.RequestHandler, concurrency int) *fasthttp.Server {
+	return &fasthttp.Server{
+		Handler:                      h,
+		Name:                         "",
+		NoDefaultServerHeader:        true,
+		NoDefaultDate:                true,
+		NoDefaultContentType:         true,
+		StreamRequestBody:            true,
+		DisablePreParseMultipartForm: true,
+		ReadBufferSize:               int(p.Limits.HeaderSize),
+		ReadTimeout:                  p.Limits.HeaderTimeout.Std(),
+		IdleTimeout:                  idleTimeout,
+		Concurrency:                  concurrency,
+		CloseOnShutdown:              true,
+		ErrorHandler:                 answerMalformed,
+		Logger:                       silentLogger{},
+		SecureErrorLogMessage:        true,
+	}
+}
+
+// idleTimeout is how long a caller's connection may stay open between two requests.
+const idleTimeout = 60 * time.Second
+
+// silentLogger drops the library's own log lines: each failed connection of a caller would write one.
+type silentLogger struct{}
+
+func (silentLogger) Printf(string, ...any) {}
+
+// Serve serves callers and forwarded calls until ctx ends. It returns nil after a shutdown.
+func (p *Proxy) Serve(ctx context.Context, callers, forward net.Listener) error {
+	group, ctx := errgroup.WithContext(ctx)
+	limited := newLimitedListener(callers, p.Limits.Connections, p.Limits.ConnectionsPerCaller)
+	group.Go(func() error { return serveError(p.callers.Serve(limited)) })
+	group.Go(func() error { return serveError(p.forward.Serve(forward)) })
+	group.Go(func() error { p.watcher.run(ctx); return nil })
+	group.Go(func() error { p.closeExpired(ctx); return nil })
+	return group.Wait()
+}
+
+func serveError(err error) error {
+	if err == nil {
+		return nil
+	}
+	return errors.Mark(err, ErrServe)
+}
+
+// closeExpired closes connections that have been idle for too long.
+func (p *Proxy) closeExpired(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-p.Clock.After(time.Second):
+			p.Backends.CloseExpired()
+			p.Forward.CloseExpired()
+		}
+	}
+}
+
+// Drain makes health checks fail, so that the platform's balancer sends no new callers.
+func (p *Proxy) Drain() { p.draining.Store(true) }
+
+// Shutdown stops accepting calls and waits until those in flight have ended, or ctx has.
+func (p *Proxy) Shutdown(ctx context.Context) error {
+	err := p.callers.ShutdownWithContext(ctx)
+	return errors.CombineErrors(err, p.forward.ShutdownWithContext(ctx))
+}
+
+// InFlight returns the number of calls being served.
+func (p *Proxy) InFlight() int64 { return p.inFlight.Load() }
+
+// Ready reports whether calls are admitted, and the reason if not.
+func (p *Proxy) Ready() (ok bool, reason string) {
+	if p.draining.Load() {
+		return false, "draining"
+	}
+	if p.Configuration.InForce() == nil {
+		return false, string(p.Configuration.Reason())
+	}
+	return true, ""
+}
+
+func (p *Proxy) isPeer(h *fasthttp.RequestHeader) bool {
+	return subtle.ConstantTimeCompare(h.Peek(headerPeerKey), []byte(p.PeerKey)) == 1
+}
--- /dev/null
+++ b/pkg/server/fleet.go
@@ -0,0 +1,91 @@
+package server
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+	"github.com/samber/lo"
+
+	"github.com/hornbeamway/hornbeamway/pkg/membership"
+	"github.com/hornbeamway/hornbeamway/pkg/operation"
+	"github.com/hornbeamway/hornbeamway/pkg/peer"
+	"github.com/hornbeamway/hornbeamway/pkg/preset"
+	"github.com/hornbeamway/hornbeamway/pkg/vmlist"
+)
+
+// Methods between entry VMs that this package registers.
+const (
+	methodConfirm  = "preset.confirm"
+	methodFetch    = "preset.fetch"
+	methodHandover = "operation.handover"
+)
+
+// ErrUnknownVM reports a VM whose peer address is not known.
+var ErrUnknownVM = errors.New("peer address of the VM is not known")
+
+// fleet tells packages preset and operation which entry VMs there are, and brings their messages there.
+type fleet struct {
+	members *membership.Service
+	pool    *peer.Pool
+}
+
+var (
+	_ preset.Fleet = (*fleet)(nil)
+	_ preset.Peers = (*fleet)(nil)
+)
+
+// Self implements preset.Fleet.
+func (f *fleet) Self() string { return f.members.Self().ID }
+
+// Listed implements preset.Fleet.
+func (f *fleet) Listed() (ids []string, known bool) {
+	listed := f.members.Listed()
+	return lo.Map(listed, func(v vmlist.VM, _ int) string { return v.ID }), len(listed) > 0
+}
+
+// Alive implements preset.Fleet.
+func (f *fleet) Alive() []string {
+	return lo.FilterMap(f.members.Members(), func(m membership.Member, _ int) (string, bool) {
+		return m.ID, m.State == membership.Alive || m.State == membership.Leaving
+	})
+}
+
+// address finds the peer address of a VM among the members, then in the VM list.
+func (f *fleet) address(vm string) (string, error) {
+	for _, m := range f.members.Members() {
+		if m.ID == vm && m.Peer != "" {
+			return m.Peer, nil
+		}
+	}
+	for _, v := range f.members.Listed() {
+		if v.ID == vm && v.Peer != "" {
+			return v.Peer, nil
+		}
+	}
+	return "", errors.Wrapf(ErrUnknownVM, "%s", vm)
+}
+
+// Confirm implements preset.Peers.
+func (f *fleet) Confirm(ctx context.Context, vm string, r preset.ConfirmRequest) (preset.ConfirmAnswer, error) {
+	return callVM[preset.ConfirmAnswer](ctx, f, vm, methodConfirm, r)
+}
+
+// Fetch implements preset.Peers.
+func (f *fleet) Fetch(ctx context.Context, vm string) (preset.Snapshot, error) {
+	return callVM[preset.Snapshot](ctx, f, vm, methodFetch, struct{}{})
+}
+
+// Handover implements operation.Peers.
+func (f *fleet) Handover(ctx context.Context, vm string, chunk operation.Chunk) error {
+	_, err := callVM[struct{}](ctx, f, vm, methodHandover, chunk)
+	return err
+}
+
+func callVM[Resp any](ctx context.Context, f *fleet, vm, method string, params any) (Resp, error) {
+	address, err := f.address(vm)
+	if err != nil {
+		var none Resp
+		return none, err
+	}
+	return peer.Call[Resp](ctx, f.pool, address, method, params)
+}
--- /dev/null
+++ b/pkg/server/pools.go
@@ -0,0 +1,65 @@
+package server
+
+import (
+	"context"
+	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/hornbeamway/hornbeamway/pkg/clock"
+	"github.com/hornbeamway/hornbeamway/pkg/dispatch"
+	"github.com/hornbeamway/hornbeamway/pkg/membership"
+	"github.com/hornbeamway/hornbeamway/pkg/preset"
+	"github.com/hornbeamway/hornbeamway/pkg/priority"
+	"github.com/hornbeamway/hornbeamway/pkg/vmlist"
+)
+
+// poolUpdater brings the backend servers of the VM list and the properties of the preset in force to the pools.
+type poolUpdater struct {
+	clock    clock.Clock
+	members  *membership.Service
+	follower *preset.Follower
+	registry *dispatch.Registry
+	chooser  *placement
+	caps     *connectionCaps
+}
+
+// refreshInterval bounds the delay of a change whose notice was missed.
+const refreshInterval = time.Second
+
+// run updates the pools until ctx ends.
+func (u *poolUpdater) run(ctx context.Context) {
+	servers, members := u.members.SubscribeServers(), u.members.Subscribe()
+	for ctx.Err() == nil {
+		_, configuration := u.follower.View()
+		u.update()
+		select {
+		case <-ctx.Done():
+		case <-servers:
+		case <-members:
+		case <-configuration:
+		case <-u.clock.After(refreshInterval):
+		}
+	}
+}
+
+func (u *poolUpdater) update() {
+	effective := u.follower.InForce()
+	if effective == nil {
+		return
+	}
+	content := effective.Content
+	servers := lo.FilterMap(u.members.Servers(), func(v vmlist.VM, _ int) (dispatch.Server, bool) {
+		service, ok := content.Service(v.Service)
+		if !ok {
+			return dispatch.Server{}, false
+		}
+		return dispatch.Server{
+			ID: v.ID, Address: v.Address, Service: v.Service, Region: v.Region, DataCentre: v.DataCentre,
+			State: dispatch.State(v.State), Slots: service.Slots,
+		}, true
+	})
+	u.registry.Update(servers, priority.Shares(content.Shares.ByClass()))
+	u.chooser.update(servers)
+	u.caps.update(servers, content)
+}
--- /dev/null
+++ b/pkg/server/providers.go
@@ -0,0 +1,193 @@
+package server
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/samber/do/v2"
+
+	"github.com/hornbeamway/hornbeamway/pkg/admin"
+	"github.com/hornbeamway/hornbeamway/pkg/clock"
+	"github.com/hornbeamway/hornbeamway/pkg/config"
+	"github.com/hornbeamway/hornbeamway/pkg/dispatch"
+	"github.com/hornbeamway/hornbeamway/pkg/membership"
+	"github.com/hornbeamway/hornbeamway/pkg/operation"
+	"github.com/hornbeamway/hornbeamway/pkg/peer"
+	"github.com/hornbeamway/hornbeamway/pkg/platformlog"
+	"github.com/hornbeamway/hornbeamway/pkg/preset"
+	"github.com/hornbeamway/hornbeamway/pkg/proxy"
+	"github.com/hornbeamway/hornbeamway/pkg/upstream"
+	"github.com/hornbeamway/hornbeamway/pkg/vmlist"
+)
+
+// newConnRate and newConnBurst pace new connections to one backend server, each of which costs it about 1 ms.
+const (
+	newConnRate  = 20
+	newConnBurst = 4
+)
+
+// identity is this process among all that run under the VM's id.
+type identity struct {
+	incarnation uint64
+	start       time.Time
+}
+
+// provide registers how each part is built. Parts are built once, when they are first needed.
+func provide(i do.Injector, settings *config.Settings) {
+	do.ProvideValue(i, settings)
+	do.ProvideValue[clock.Clock](i, clock.System{})
+	do.ProvideValue(i, identity{incarnation: rand.Uint64(), start: time.Now()})
+	do.ProvideValue[platformlog.Log](i, platformlog.NewClient(settings.LogService))
+	do.ProvideValue(i, peer.Options{ID: settings.ID, Secret: settings.Credentials.Peer})
+	do.ProvideValue(i, &connectionCaps{})
+	do.ProvideValue(i, &vitalsLink{})
+	do.Provide(i, newPeerServer)
+	do.Provide(i, newPeerPool)
+	do.Provide(i, newMembers)
+	do.Provide(i, newFleet)
+	do.Provide(i, newPresetOptions)
+	do.Provide(i, newFollower)
+	do.Provide(i, newRegistry)
+	do.Provide(i, newPlacement)
+	do.Provide(i, newPoolUpdater)
+	do.Provide(i, newOperations)
+	do.Provide(i, newProxy)
+	do.Provide(i, newAdmin)
+	do.Provide(i, assemble)
+}
+
+func newPeerServer(i do.Injector) (*peer.Server, error) {
+	return peer.NewServer(do.MustInvoke[peer.Options](i)), nil
+}
+
+func newPeerPool(i do.Injector) (*peer.Pool, error) {
+	return peer.NewPool(do.MustInvoke[peer.Options](i)), nil
+}
+
+func newMembers(i do.Injector) (*membership.Service, error) {
+	settings, id := do.MustInvoke[*config.Settings](i), do.MustInvoke[identity](i)
+	links := do.MustInvoke[*vitalsLink](i)
+	members := membership.NewService(membership.Options{
+		Self: membership.Member{
+			ID: settings.ID, Incarnation: id.incarnation, Start: id.start,
+			Region: settings.Region, DataCentre: settings.DataCentre,
+			Forward: settings.Addresses.Forward, Peer: settings.Addresses.Peer, Admin: settings.Addresses.Admin,
+		},
+		Sender:      do.MustInvoke[*peer.Pool](i),
+		Clock:       do.MustInvoke[clock.Clock](i),
+		List:        vmlist.NewClient(settings.VMList),
+		Seeds:       settings.Seeds,
+		Vitals:      links.vitals,
+		OnHeartbeat: links.heard,
+	})
+	members.Register(do.MustInvoke[*peer.Server](i))
+	return members, nil
+}
+
+func newFleet(i do.Injector) (*fleet, error) {
+	return &fleet{members: do.MustInvoke[*membership.Service](i), pool: do.MustInvoke[*peer.Pool](i)}, nil
+}
+
+func newPresetOptions(i do.Injector) (preset.Options, error) {
+	f := do.MustInvoke[*fleet](i)
+	return preset.Options{Log: do.MustInvoke[platformlog.Log](i), Clock: do.MustInvoke[clock.Clock](i), Peers: f, Fleet: f}, nil
+}
+
+func newFollower(i do.Injector) (*preset.Follower, error) {
+	follower := preset.NewFollower(do.MustInvoke[preset.Options](i))
+	do.MustInvoke[*vitalsLink](i).follower = follower
+	registerPreset(do.MustInvoke[*peer.Server](i), follower)
+	return follower, nil
+}
+
+func newRegistry(i do.Injector) (*dispatch.Registry, error) {
+	return dispatch.NewRegistry(do.MustInvoke[clock.Clock](i), do.MustInvoke[*config.Settings](i).DataCentre), nil
+}
+
+func newPlacement(i do.Injector) (*placement, error) {
+	return &placement{clock: do.MustInvoke[clock.Clock](i), members: do.MustInvoke[*membership.Service](i)}, nil
+}
+
+func newPoolUpdater(i do.Injector) (*poolUpdater, error) {
+	return &poolUpdater{
+		clock:    do.MustInvoke[clock.Clock](i),
+		members:  do.MustInvoke[*membership.Service](i),
+		follower: do.MustInvoke[*preset.Follower](i),
+		registry: do.MustInvoke[*dispatch.Registry](i),
+		chooser:  do.MustInvoke[*placement](i),
+		caps:     do.MustInvoke[*connectionCaps](i),
+	}, nil
+}
+
+func newOperations(i do.Injector) (*operation.Coordinator, error) {
+	settings, id, c := do.MustInvoke[*config.Settings](i), do.MustInvoke[identity](i), do.MustInvoke[clock.Clock](i)
+	forward, err := netip.ParseAddrPort(settings.Addresses.Forward)
+	if err != nil {
+		return nil, err
+	}
+	self := operation.Self{VM: settings.ID, Incarnation: id.incarnation, Forward: forward}
+	return operation.NewCoordinator(operation.Options{
+		Clock:  c,
+		Codec:  operation.NewCodec(settings.Credentials.Peer),
+		Self:   self,
+		Ledger: operation.NewLedger(c.Now()),
+		Ranges: operation.SingleVM{Self: self},
+	}), nil
+}
+
+func newProxy(i do.Injector) (*proxy.Proxy, error) {
+	settings, c := do.MustInvoke[*config.Settings](i), do.MustInvoke[clock.Clock](i)
+	return proxy.New(proxy.Options{
+		Clock:         c,
+		Limits:        settings.Limits,
+		PeerKey:       settings.Credentials.Peer,
+		Configuration: do.MustInvoke[*preset.Follower](i),
+		Pools:         do.MustInvoke[*dispatch.Registry](i),
+		Placement:     do.MustInvoke[*placement](i),
+		Operations:    do.MustInvoke[*operation.Coordinator](i),
+		Backends: upstream.NewTransport(upstream.Options{
+			Clock: c, MaxConns: do.MustInvoke[*connectionCaps](i).forAddress, NewConnRate: newConnRate, NewConnBurst: newConnBurst,
+		}),
+		Forward: upstream.NewTransport(upstream.Options{Clock: c}),
+		Region:  settings.Region,
+	}), nil
+}
+
+func newAdmin(i do.Injector) (*admin.Server, error) {
+	settings := do.MustInvoke[*config.Settings](i)
+	follower, options := do.MustInvoke[*preset.Follower](i), do.MustInvoke[preset.Options](i)
+	return admin.New(admin.Options{
+		Credentials: settings.Credentials,
+		Follower:    follower,
+		Proposer:    preset.NewProposer(options.Log, options.Clock, follower),
+		Watcher:     preset.NewWatcher(options, follower),
+		Members:     do.MustInvoke[*membership.Service](i),
+		Pools:       do.MustInvoke[*dispatch.Registry](i),
+		Ready:       do.MustInvoke[*proxy.Proxy](i).Ready,
+	}), nil
+}
+
+func assemble(i do.Injector) (*vm, error) {
+	settings := do.MustInvoke[*config.Settings](i)
+	sockets, err := listen(settings.Addresses)
+	if err != nil {
+		return nil, err
+	}
+	follower, options := do.MustInvoke[*preset.Follower](i), do.MustInvoke[preset.Options](i)
+	return &vm{
+		settings:   settings,
+		clock:      do.MustInvoke[clock.Clock](i),
+		listeners:  sockets,
+		members:    do.MustInvoke[*membership.Service](i),
+		follower:   follower,
+		acceptor:   preset.NewAcceptor(options, follower),
+		snapshots:  preset.NewSnapshotter(options, follower),
+		pools:      do.MustInvoke[*poolUpdater](i),
+		registry:   do.MustInvoke[*dispatch.Registry](i),
+		operations: do.MustInvoke[*operation.Coordinator](i),
+		proxy:      do.MustInvoke[*proxy.Proxy](i),
+		peers:      do.MustInvoke[*peer.Server](i),
+		admin:      do.MustInvoke[*admin.Server](i),
+	}, nil
+}
--- /dev/null
+++ b/pkg/server/server.go
@@ -0,0 +1,137 @@
+// Package server wires the parts of an entry VM together and runs their life cycle. Programs that embed an entry VM call
+// Run with their settings.
+package server
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/samber/do/v2"
+	"k8s.io/klog/v2"
+
+	"github.com/hornbeamway/hornbeamway/pkg/admin"
+	"github.com/hornbeamway/hornbeamway/pkg/clock"
+	"github.com/hornbeamway/hornbeamway/pkg/config"
+	"github.com/hornbeamway/hornbeamway/pkg/dispatch"
+	"github.com/hornbeamway/hornbeamway/pkg/membership"
+	"github.com/hornbeamway/hornbeamway/pkg/operation"
+	"github.com/hornbeamway/hornbeamway/pkg/peer"
+	"github.com/hornbeamway/hornbeamway/pkg/preset"
+	"github.com/hornbeamway/hornbeamway/pkg/proxy"
+)
+
+// Errors of the life cycle.
+var (
+	// ErrListen reports an address that cannot be listened on.
+	ErrListen = errors.New("cannot listen")
+	// ErrWiring reports a part that could not be built.
+	ErrWiring = errors.New("cannot build the entry VM")
+)
+
+// Run serves as an entry VM until ctx ends, then drains: it fails health checks, serves for the drain notice, hands its
+// operations over, finishes the calls in flight and returns nil.
+func Run(ctx context.Context, settings *config.Settings) error {
+	vm, err := newVM(settings)
+	if err != nil {
+		return err
+	}
+	return vm.run(ctx)
+}
+
+// listeners are the sockets of an entry VM.
+type listeners struct {
+	callers, forward, peer, admin net.Listener
+}
+
+func listen(a config.Addresses) (*listeners, error) {
+	l := &listeners{}
+	for _, target := range []struct {
+		listener *net.Listener
+		address  string
+	}{{&l.callers, a.Callers}, {&l.forward, a.Forward}, {&l.peer, a.Peer}, {&l.admin, a.Admin}} {
+		listener, err := net.Listen("tcp", target.address)
+		if err != nil {
+			return nil, errors.Mark(errors.Wrapf(err, "%s", target.address), ErrListen)
+		}
+		*target.listener = listener
+	}
+	return l, nil
+}
+
+// vm is a running entry VM.
+type vm struct {
+	settings   *config.Settings
+	clock      clock.Clock
+	listeners  *listeners
+	members    *membership.Service
+	follower   *preset.Follower
+	acceptor   *preset.Acceptor
+	snapshots  *preset.Snapshotter
+	pools      *poolUpdater
+	registry   *dispatch.Registry
+	operations *operation.Coordinator
+	proxy      *proxy.Proxy
+	peers      *peer.Server
+	admin      *admin.Server
+}
+
+func newVM(settings *config.Settings) (*vm, error) {
+	injector := do.New()
+	provide(injector, settings)
+	built, err := do.Invoke[*vm](injector)
+	if err != nil {
+		return nil, errors.Mark(err, ErrWiring)
+	}
+	return built, nil
+}
+
+// run starts a goroutine for each duty and waits for the stop.
+func (v *vm) run(ctx context.Context) error {
+	duties, stopDuties := context.WithCancel(context.Background())
+	defer stopDuties()
+	var group sync.WaitGroup
+	for _, duty := range []func(context.Context){
+		v.members.Run, v.follower.Run, v.acceptor.Run, v.snapshots.Run, v.pools.run,
+	} {
+		group.Go(func() { duty(duties) })
+	}
+	failed := make(chan error, 3)
+	go func() { failed <- v.peers.Serve(v.listeners.peer) }()
+	go func() { failed <- v.admin.Serve(v.listeners.admin) }()
+	go func() { failed <- v.proxy.Serve(duties, v.listeners.callers, v.listeners.forward) }()
+	klog.InfoS("entry VM started", "vm", v.settings.ID, "region", v.settings.Region, "dataCentre", v.settings.DataCentre,
+		"callers", v.settings.Addresses.Callers, "admin", v.settings.Addresses.Admin)
+
+	var err error
+	select {
+	case err = <-failed:
+	case <-ctx.Done():
+		err = v.drain()
+	}
+	stopDuties()
+	err = errors.CombineErrors(err, errors.CombineErrors(v.admin.Close(), v.peers.Close()))
+	group.Wait()
+	v.registry.Stop()
+	klog.InfoS("entry VM stopped", "vm", v.settings.ID)
+	return err
+}
+
+// handoverTimeout bounds the handover of operations at a planned stop.
+const handoverTimeout = 10 * time.Second
+
+// drain stops without cutting off a call.
+func (v *vm) drain() error {
+	klog.InfoS("draining", "vm", v.settings.ID, "notice", v.settings.DrainNotice.Std())
+	v.members.Leave()
+	v.proxy.Drain()
+	<-v.clock.After(v.settings.DrainNotice.Std())
+	handover, cancel := context.WithTimeout(context.Background(), handoverTimeout)
+	defer cancel()
+	if err := v.operations.Drain(handover); err != nil {
+		klog.ErrorS(err, "operations were not handed over", "vm", v.settings.ID)
+	}
+	return v.proxy.Shutdown(context.Background())
+}
--- /dev/null
+++ b/pkg/upstream/body.go
@@ -0,0 +1,83 @@
+package upstream
+
+import (
+	"io"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+)
+
+// Body is a streamed answer. Close gives the connection back if the answer was read to the end, and closes it otherwise.
+// It is not safe for concurrent use.
+type Body struct {
+	exchange *exchange
+	inner    *fasthttp.Response
+	// left is the number of bytes left of a body of known length.
+	left       int
+	unread     []byte
+	complete   bool
+	stopCancel func() bool
+	onClose    []func()
+}
+
+// OnClose adds a function that runs once after Close. Functions run in the order in which they were added.
+func (b *Body) OnClose(f func()) { b.onClose = append(b.onClose, f) }
+
+// Unread puts bytes that were read back in front of the rest. It may be called once.
+func (b *Body) Unread(p []byte) { b.unread = p }
+
+// Read implements io.Reader. A body that is cut short ends with io.ErrUnexpectedEOF, never with io.EOF.
+func (b *Body) Read(p []byte) (int, error) {
+	if len(b.unread) > 0 {
+		n := copy(p, b.unread)
+		b.unread = b.unread[n:]
+		return n, nil
+	}
+	switch {
+	case b.complete:
+		return 0, io.EOF
+	case b.inner == nil:
+		return 0, io.ErrClosedPipe
+	}
+	n, err := b.inner.BodyStream().Read(p)
+	if b.left > 0 {
+		b.left -= n
+	}
+	if errors.Is(err, io.EOF) {
+		if b.left > 0 {
+			return n, io.ErrUnexpectedEOF
+		}
+		b.complete = true
+		b.copyTrailers()
+	}
+	return n, err
+}
+
+// copyTrailers sets the trailers, which arrive behind the last chunk, on the answer.
+func (b *Body) copyTrailers() {
+	for _, key := range b.inner.Header.PeekTrailerKeys() {
+		b.exchange.resp.Header.SetBytesKV(key, b.inner.Header.PeekBytes(key))
+	}
+}
+
+// Close implements io.Closer.
+func (b *Body) Close() error {
+	if b.inner == nil {
+		return nil
+	}
+	cancelled := !b.stopCancel()
+	c := b.exchange.conn
+	reusable := b.complete && !cancelled && !b.inner.Header.ConnectionClose() && b.inner.Header.ContentLength() != identityBody
+	_ = b.inner.CloseBodyStream()
+	fasthttp.ReleaseResponse(b.inner)
+	b.inner = nil
+	if reusable {
+		c.host.put(c)
+	} else {
+		c.host.discard(c)
+	}
+	for _, f := range b.onClose {
+		f()
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/upstream/exchange.go
@@ -0,0 +1,185 @@
+package upstream
+
+import (
+	"context"
+	"net"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+)
+
+// smallBody is the largest body in bytes that is read at once, so that the connection is free before the answer is
+// relayed. Larger bodies are streamed.
+const smallBody = 16 << 10
+
+// maxInterimAnswers bounds the number of 1xx answers before the final one.
+const maxInterimAnswers = 16
+
+// exchange is one request and its answer on one connection.
+type exchange struct {
+	conn     *conn
+	attempt  Attempt
+	req      *fasthttp.Request
+	resp     *fasthttp.Response
+	bodyIdle time.Duration
+	stage    Stage
+	// complete is set once the whole answer was read and the connection may be given back.
+	complete bool
+}
+
+func (x *exchange) run(ctx context.Context) error {
+	// A cancelled context expires the socket's deadlines, which ends a blocked read or write.
+	stop := context.AfterFunc(ctx, func() { _ = x.conn.SetDeadline(time.Unix(1, 0)) })
+	err := x.sendAndReceive(ctx)
+	if !stop() && err == nil && x.complete {
+		err = context.Cause(ctx)
+	}
+	if err == nil {
+		if x.complete {
+			x.giveBack()
+		}
+		return nil
+	}
+	return &Error{
+		Address:   x.attempt.Address,
+		Stage:     x.stage,
+		Written:   x.conn.written > 0,
+		Reused:    !x.conn.lastAnswer.IsZero(),
+		Timeout:   isTimeout(err) && ctx.Err() == nil,
+		Cancelled: ctx.Err() != nil,
+		Cause:     err,
+	}
+}
+
+func (x *exchange) sendAndReceive(ctx context.Context) error {
+	x.stage = StageWrite
+	if err := x.write(ctx); err != nil {
+		return err
+	}
+	x.stage = StageAwait
+	if err := x.awaitFirstByte(ctx); err != nil {
+		return err
+	}
+	x.stage = StageRead
+	if err := x.readHead(); err != nil {
+		return err
+	}
+	return x.readBody(ctx)
+}
+
+func (x *exchange) write(ctx context.Context) error {
+	if err := x.setDeadline(ctx, x.attempt.Deadline); err != nil {
+		return err
+	}
+	if x.attempt.BeforeWrite != nil {
+		if err := x.attempt.BeforeWrite(); err != nil {
+			return err
+		}
+	}
+	if err := x.req.Write(x.conn.writer); err != nil {
+		return err
+	}
+	return x.conn.writer.Flush()
+}
+
+func (x *exchange) awaitFirstByte(ctx context.Context) error {
+	deadline := x.attempt.Deadline
+	if t := x.attempt.FirstByteTimeout; t > 0 {
+		if first := time.Now().Add(t); deadline.IsZero() || first.Before(deadline) {
+			deadline = first
+		}
+	}
+	if err := x.setDeadline(ctx, deadline); err != nil {
+		return err
+	}
+	_, err := x.conn.reader.Peek(1)
+	return err
+}
+
+// setDeadline sets the socket's deadline and then looks at the context, because a cancellation may have expired the
+// socket just before.
+func (x *exchange) setDeadline(ctx context.Context, deadline time.Time) error {
+	if err := x.conn.SetDeadline(deadline); err != nil {
+		return err
+	}
+	return ctx.Err()
+}
+
+func (x *exchange) readHead() error {
+	x.conn.idleLimit = x.bodyIdle
+	skipBody := x.req.Header.IsHead()
+	x.resp.Reset()
+	x.resp.SkipBody = skipBody
+	x.resp.Header.SetNoDefaultContentType(true)
+	for range maxInterimAnswers {
+		if err := x.resp.Header.Read(x.conn.reader); err != nil {
+			return err
+		}
+		switch status := x.resp.StatusCode(); {
+		case status == fasthttp.StatusSwitchingProtocols:
+			return ErrSwitchingProtocols
+		case status >= 200:
+			return nil
+		}
+	}
+	return errors.New("too many interim answers")
+}
+
+func (x *exchange) readBody(ctx context.Context) error {
+	length := x.resp.Header.ContentLength()
+	switch {
+	case x.hasNoBody():
+		x.complete = true
+		return nil
+	case length >= 0 && length <= smallBody:
+		if err := x.resp.ReadBody(x.conn.reader, smallBody); err != nil {
+			return err
+		}
+		x.complete = true
+		return nil
+	}
+	return x.streamBody(ctx, length)
+}
+
+func (x *exchange) hasNoBody() bool {
+	status := x.resp.StatusCode()
+	return x.resp.SkipBody || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified
+}
+
+// giveBack returns the connection, or closes it if the answer ends its use.
+func (x *exchange) giveBack() {
+	if x.resp.Header.ConnectionClose() || x.resp.Header.ContentLength() == identityBody {
+		x.conn.host.discard(x.conn)
+		return
+	}
+	x.conn.host.put(x.conn)
+}
+
+// identityBody is fasthttp's content length of a body that ends with the connection.
+const identityBody = -2
+
+// streamBody leaves the body on the connection for the caller to read.
+func (x *exchange) streamBody(ctx context.Context, length int) error {
+	inner := fasthttp.AcquireResponse()
+	x.resp.Header.CopyTo(&inner.Header)
+	inner.StreamBody = true
+	if err := inner.ReadBody(x.conn.reader, 0); err != nil {
+		fasthttp.ReleaseResponse(inner)
+		return err
+	}
+	b := &Body{exchange: x, inner: inner, left: length}
+	b.stopCancel = context.AfterFunc(ctx, func() { _ = x.conn.Conn.Close() })
+	if length == identityBody {
+		length = -1
+	}
+	x.resp.SetBodyStream(b, length)
+	return nil
+}
+
+func isTimeout(err error) bool {
+	var netErr net.Error
+	return errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, context.DeadlineExceeded) ||
+		(errors.As(err, &netErr) && netErr.Timeout())
+}
--- /dev/null
+++ b/pkg/upstream/upstream_test.go
@@ -0,0 +1,285 @@
+package upstream_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/valyala/fasthttp"
+
+	"github.com/hornbeamway/hornbeamway/pkg/clock"
+	"github.com/hornbeamway/hornbeamway/pkg/upstream"
+)
+
+func TestUpstream(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "upstream")
+}
+
+// scripted is a server whose handler gets the raw connection after each request head that was read.
+type scripted struct {
+	address     string
+	connections atomic.Int64
+	requests    atomic.Int64
+}
+
+// serve starts a server. handle returns false to close the connection.
+func serve(handle func(request int, head string, c net.Conn) bool) *scripted {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(l.Close)
+	s := &scripted{address: l.Addr().String()}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.connections.Add(1)
+			go s.connection(c, handle)
+		}
+	}()
+	return s
+}
+
+func (s *scripted) connection(c net.Conn, handle func(int, string, net.Conn) bool) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for {
+		var head strings.Builder
+		for {
+			line, err := r.ReadString('\n')
+			if err != nil {
+				return
+			}
+			if line == "\r\n" {
+				break
+			}
+			head.WriteString(line)
+		}
+		if !handle(int(s.requests.Add(1)), head.String(), c) {
+			return
+		}
+	}
+}
+
+func answer(c net.Conn, body string) bool {
+	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	return err == nil
+}
+
+func request(method, path string) *fasthttp.Request {
+	req := &fasthttp.Request{}
+	req.Header.SetMethod(method)
+	req.SetRequestURI(path)
+	req.Header.SetHost("service")
+	return req
+}
+
+func failure(err error) *upstream.Error {
+	var e *upstream.Error
+	ExpectWithOffset(1, errors.As(err, &e)).To(BeTrue(), "%v", err)
+	return e
+}
+
+var _ = Describe("Transport", func() {
+	var (
+		transport *upstream.Transport
+		now       *clock.Manual
+		resp      *fasthttp.Response
+		ctx       = context.Background()
+	)
+	BeforeEach(func() {
+		now = clock.NewManual(time.Unix(1000, 0))
+		transport = upstream.NewTransport(upstream.Options{Clock: now, BodyIdleTimeout: time.Second})
+		resp = &fasthttp.Response{}
+	})
+
+	get := func(s *scripted) error {
+		return transport.RoundTrip(ctx, upstream.Attempt{Address: s.address, Idempotent: true}, request("GET", "/"), resp)
+	}
+	post := func(s *scripted) error {
+		return transport.RoundTrip(ctx, upstream.Attempt{Address: s.address}, request("POST", "/"), resp)
+	}
+
+	// Guards against an order that runs twice because the client library sent it again on another connection.
+	It("sends a non-idempotent request on one connection only when the kept connection closes under it", func() {
+		posts := atomic.Int64{}
+		s := serve(func(_ int, head string, c net.Conn) bool {
+			if strings.HasPrefix(head, "POST") {
+				posts.Add(1)
+				return false
+			}
+			return answer(c, "warm")
+		})
+		Expect(get(s)).To(Succeed())
+		e := failure(post(s))
+		Expect(e.Written).To(BeTrue())
+		Expect(e.Reused).To(BeTrue())
+		Expect(posts.Load()).To(BeEquivalentTo(1))
+		Expect(s.connections.Load()).To(BeEquivalentTo(1))
+	})
+
+	// Guards against an order that is written to a connection that went silent while it was idle.
+	It("opens a new connection for a non-idempotent request when the idle one has not answered recently", func() {
+		s := serve(func(_ int, _ string, c net.Conn) bool { return answer(c, "ok") })
+		Expect(get(s)).To(Succeed())
+		now.Advance(1500 * time.Millisecond)
+		Expect(post(s)).To(Succeed())
+		Expect(s.connections.Load()).To(BeEquivalentTo(2))
+	})
+
+	// Guards against a late answer that reaches the next caller on the same connection.
+	It("never reuses a connection whose answer did not arrive in time", func() {
+		release := make(chan struct{})
+		s := serve(func(n int, _ string, c net.Conn) bool {
+			if n == 1 {
+				<-release
+				return answer(c, "late")
+			}
+			return answer(c, "second")
+		})
+		a := upstream.Attempt{Address: s.address, Idempotent: true, FirstByteTimeout: 20 * time.Millisecond}
+		e := failure(transport.RoundTrip(ctx, a, request("GET", "/1"), resp))
+		Expect(e.Timeout).To(BeTrue())
+		Expect(e.Stage).To(Equal(upstream.StageAwait))
+		close(release)
+		Expect(get(s)).To(Succeed())
+		Expect(string(resp.Body())).To(Equal("second"))
+		Expect(s.connections.Load()).To(BeEquivalentTo(2))
+	})
+
+	// Guards against a refused connection being reported as possibly run.
+	It("proves that nothing was written when the connection is refused", func() {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(l.Close()).To(Succeed())
+		e := failure(transport.RoundTrip(ctx, upstream.Attempt{Address: l.Addr().String()}, request("POST", "/"), resp))
+		Expect(e.Written).To(BeFalse())
+		Expect(e.Stage).To(Equal(upstream.StageConnect))
+	})
+
+	// Guards against a write after the lease or the deadline has ended.
+	It("writes nothing when the check before the write fails", func() {
+		s := serve(func(_ int, _ string, c net.Conn) bool { return answer(c, "ok") })
+		a := upstream.Attempt{Address: s.address, BeforeWrite: func() error { return errors.New("lease ended") }}
+		e := failure(transport.RoundTrip(ctx, a, request("POST", "/"), resp))
+		Expect(e.Written).To(BeFalse())
+		Expect(s.requests.Load()).To(BeZero())
+	})
+
+	// Guards against a cut body that is relayed as a complete answer.
+	DescribeTable("reports a body that is cut short",
+		func(head, part string) {
+			s := serve(func(_ int, _ string, c net.Conn) bool {
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+head+"\r\n\r\n"+part)
+				return false
+			})
+			err := get(s)
+			if err == nil {
+				_, err = io.ReadAll(resp.BodyStream())
+				Expect(resp.CloseBodyStream()).To(Succeed())
+			}
+			Expect(err).To(MatchError(io.ErrUnexpectedEOF))
+			Expect(transport.Open(s.address)).To(BeZero())
+		},
+		Entry("small, known length", "Content-Length: 10", "12345"),
+		Entry("large, known length", "Content-Length: 100000", "12345"),
+		Entry("chunked, in a chunk", "Transfer-Encoding: chunked", "a\r\n12345"),
+		Entry("chunked, between chunks", "Transfer-Encoding: chunked", "5\r\n12345\r\n"),
+	)
+
+	// Guards against a connection that is handed out while its answer is still unread.
+	It("gives a connection back only after its body was read to the end", func() {
+		large := strings.Repeat("x", 100_000)
+		s := serve(func(_ int, _ string, c net.Conn) bool { return answer(c, large) })
+		Expect(get(s)).To(Succeed())
+		Expect(resp.CloseBodyStream()).To(Succeed())
+		Expect(transport.Open(s.address)).To(BeZero())
+
+		Expect(get(s)).To(Succeed())
+		body, err := io.ReadAll(resp.BodyStream())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(body).To(HaveLen(len(large)))
+		Expect(resp.CloseBodyStream()).To(Succeed())
+		Expect(transport.Open(s.address)).To(Equal(1))
+	})
+
+	// Guards against lost trailers of a streamed answer.
+	It("passes trailers of a chunked answer", func() {
+		s := serve(func(_ int, _ string, c net.Conn) bool {
+			_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: X-Checksum\r\n\r\n2\r\nok\r\n0\r\nX-Checksum: 7\r\n\r\n")
+			return err == nil
+		})
+		Expect(get(s)).To(Succeed())
+		_, err := io.ReadAll(resp.BodyStream())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(resp.Header.Peek("X-Checksum"))).To(Equal("7"))
+	})
+
+	// Guards against an answer with bytes behind it that would be taken for the next answer.
+	It("closes a connection with bytes behind the answer", func() {
+		s := serve(func(_ int, _ string, c net.Conn) bool { return answer(c, "ok") && answer(c, "extra") })
+		Expect(get(s)).To(Succeed())
+		Expect(get(s)).To(Succeed())
+		Expect(string(resp.Body())).To(Equal("ok"))
+		Expect(s.connections.Load()).To(BeEquivalentTo(2))
+	})
+
+	// Guards against a caller that left while its call still holds a backend server's slot.
+	It("closes the connection when the context ends", func() {
+		arrived := make(chan struct{})
+		closed := make(chan error, 1)
+		s := serve(func(_ int, _ string, c net.Conn) bool {
+			close(arrived)
+			_, err := c.Read(make([]byte, 1))
+			closed <- err
+			return false
+		})
+		cancelled, cancel := context.WithCancel(ctx)
+		go func() {
+			<-arrived
+			cancel()
+		}()
+		e := failure(transport.RoundTrip(cancelled, upstream.Attempt{Address: s.address}, request("GET", "/"), resp))
+		Expect(e.Cancelled).To(BeTrue())
+		Eventually(closed).Should(Receive(MatchError(io.EOF)))
+	})
+
+	// Guards against a backend server's connection limit being exceeded.
+	It("keeps to the connection cap and paces new connections", func() {
+		block := make(chan struct{})
+		DeferCleanup(func() { close(block) })
+		s := serve(func(int, string, net.Conn) bool { <-block; return false })
+		limited := upstream.NewTransport(upstream.Options{
+			Clock: now, NewConnRate: 1, NewConnBurst: 3,
+			MaxConns: func(string) int { return 2 },
+		})
+		try := func() *upstream.Error {
+			a := upstream.Attempt{Address: s.address, FirstByteTimeout: time.Millisecond}
+			return failure(limited.RoundTrip(ctx, a, request("GET", "/"), &fasthttp.Response{}))
+		}
+		bounded, cancel := context.WithCancel(ctx)
+		DeferCleanup(cancel)
+		for range 2 {
+			go func() {
+				_ = limited.RoundTrip(bounded, upstream.Attempt{Address: s.address}, request("GET", "/"), &fasthttp.Response{})
+			}()
+		}
+		Eventually(func() int { return limited.Open(s.address) }).Should(Equal(2))
+		Expect(try().Cause).To(MatchError(upstream.ErrConnectionLimit))
+		cancel()
+		Eventually(func() int { return limited.Open(s.address) }).Should(BeZero())
+		Expect(try().Timeout).To(BeTrue())
+		Expect(try().Cause).To(MatchError(upstream.ErrPaced))
+	})
+})
