--- a/pkg/preset/confirm.go
+++ b/pkg/preset/confirm.go
@@ -28,9 +28,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	answer := ConfirmAnswer{Position: f.reader.state.Position}
-	if p, ok := f.reader.state.Pending[r.Proposal]; ok {
-		answer.Pending = p.Offset == r.Offset && p.Round == r.Round
-	}
+	p, pending := f.reader.state.Pending[r.Proposal]
+	answer.Undecided = answer.Position < r.Offset || (pending && p.Offset == r.Offset && p.Round == r.Round)
 	if answer.Reason = f.refusal(r); answer.Reason != "" {
 		return answer
 	}
@@ -67,7 +66,7 @@
 	return read.Add(f.reader.state.ActiveContent().Veto())
 }
 
-// askAll asks every VM whether what is pending here is pending there. When all say so, no VM has read an acceptance,
+// askAll asks every VM whether what is pending here is undecided there. When all say so, no VM has read an acceptance,
 // and none is in force: the doubt of an outage of the log ends without the log.
 func (f *Follower) askAll(ctx context.Context) {
 	voters, known := mustConfirm(f.fleet)
@@ -77,7 +76,7 @@
 		return
 	}
 	for _, r := range requests {
-		if !f.pendingEverywhere(ctx, voters, r) {
+		if !f.undecidedEverywhere(ctx, voters, r) {
 			return
 		}
 	}
@@ -100,9 +99,9 @@
 	return requests
 }
 
-func (f *Follower) pendingEverywhere(ctx context.Context, voters []string, r ConfirmRequest) bool {
+func (f *Follower) undecidedEverywhere(ctx context.Context, voters []string, r ConfirmRequest) bool {
 	answers := askVoters(ctx, f.peers, f.fleet.Self(), voters, r, f.HandleConfirm)
-	return lo.EveryBy(answers, func(a ConfirmAnswer) bool { return a.Pending })
+	return lo.EveryBy(answers, func(a ConfirmAnswer) bool { return a.Undecided })
 }
 
 // askVoters sends the request to all voters at once. The answer of a voter that does not answer is zero.
--- a/pkg/preset/content_test.go
+++ b/pkg/preset/content_test.go
@@ -126,6 +126,11 @@
 	}
 	f.Add([]byte(`{"kind":"propose","id":"q","object":"active","base":0,"content":"peak"}`))
 	f.Add([]byte(`null`))
+	s, _ := fold(bootstrapEntry(), proposeEntry("p", "preset/ordinary", 0, 0, 9))
+	snapshot, _ := s.SnapshotEntry("s")
+	snapshot.Covers = 0
+	data, _ := json.Marshal(snapshot)
+	f.Add([]byte(strings.Replace(string(data), `"position":1`, `"position":0`, 1)))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		s := preset.NewState()
 		s.Apply(platformlog.Record{Offset: 0, Data: data})
@@ -133,6 +138,10 @@
 		s.Apply(record(2, proposeEntry("p", "preset/ordinary", 1, 1, 9)))
 		s.Apply(platformlog.Record{Offset: 3, Data: data})
 		s.Apply(platformlog.Record{Offset: 4, Data: data})
+		fromSnapshot, _ := preset.ReadAll([]platformlog.Record{{}, {Offset: 1, Data: data}, record(2, accept("p", 0))}, 1, 5)
+		if fromSnapshot.Version != preset.NoVersion && fromSnapshot.ActiveContent() == nil {
+			t.Fatal("state without the preset in force")
+		}
 		text, err := s.Marshal()
 		if err != nil {
 			t.Fatal(err)
--- a/pkg/preset/peers.go
+++ b/pkg/preset/peers.go
@@ -27,8 +27,8 @@
 type ConfirmAnswer struct {
 	// Confirmed says that the VM holds the proposal in this round and is bound by it.
 	Confirmed bool `json:"confirmed"`
-	// Pending says that the proposal is undecided in this round as far as the VM has read, whether it confirms or not.
-	Pending bool `json:"pending"`
+	// Undecided says that the VM has read neither a decision on the proposal nor the end of the round.
+	Undecided bool `json:"undecided"`
 	// Reason says why it is not confirmed.
 	Reason string `json:"reason,omitempty"`
 	// Position is the position of the VM in the log.
--- a/pkg/preset/snapshot.go
+++ b/pkg/preset/snapshot.go
@@ -50,8 +50,11 @@
 	if s.Version != NoVersion && s.ActiveContent() == nil {
 		return "the active preset is missing"
 	}
+	if s.Version == NoVersion && len(s.Presets)+len(s.Pending) > 0 {
+		return "there are presets or proposals before the bootstrap"
+	}
 	for id, p := range s.Pending {
-		if p == nil || p.ID != id || p.Offset > s.Position || !p.complete() {
+		if p == nil || p.ID != id || p.Offset > s.Position || !s.complete(p) {
 			return "proposal " + id + " is incomplete"
 		}
 	}
@@ -59,9 +62,9 @@
 }
 
 // complete reports whether the proposal has the content that its object needs.
-func (p *Proposal) complete() bool {
+func (s *State) complete(p *Proposal) bool {
 	if p.Object == ObjectActive {
-		return p.Content == nil && p.Active != ""
+		return p.Content == nil && s.Presets[p.Active].Content != nil
 	}
 	return p.Content != nil && p.Object == ObjectOf(p.Content.Name)
 }
