--- /dev/null
+++ b/pkg/dispatch/poolplacement_test.go
@@ -0,0 +1,100 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/hornbeamway/hornbeamway/pkg/clock"
+	"github.com/hornbeamway/hornbeamway/pkg/dispatch"
+	"github.com/hornbeamway/hornbeamway/pkg/priority"
+)
+
+// Guards against pools that move between VMs that stay, when another VM dies.
+func TestRankKeepsItsOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		vms := rapid.SliceOfNDistinct(rapid.StringMatching("[a-z0-9]{1,6}"), 1, 16, rapid.ID[string]).Draw(t, "vms")
+		key := dispatch.PoolKey{Service: rapid.String().Draw(t, "service"), DataCentre: "d1"}
+		dead := rapid.SampledFrom(vms).Draw(t, "dead")
+		rest := slices.DeleteFunc(slices.Clone(vms), func(id string) bool { return id == dead })
+		want := slices.DeleteFunc(dispatch.Rank(key, vms), func(id string) bool { return id == dead })
+		if got := dispatch.Rank(key, rest); !slices.Equal(got, want) {
+			t.Fatalf("order %v, want %v", got, want)
+		}
+	})
+}
+
+// Guards against pools that gather on few VMs.
+var _ = It("spreads pools over the VMs", func() {
+	vms := []string{"e0", "e1", "e2", "e3"}
+	count := map[string]int{}
+	for i := range 400 {
+		count[dispatch.Rank(dispatch.PoolKey{Service: fmt.Sprint("s", i), DataCentre: "d1"}, vms)[0]]++
+	}
+	for _, id := range vms {
+		Expect(count[id]).To(BeNumerically("~", 100, 30))
+	}
+})
+
+type statement struct {
+	dataCentre string
+	healthy    bool
+	wait       time.Duration
+	age        time.Duration
+}
+
+// Guards against calls that stay with a pool that cannot serve them, that cross the billed link without need, and
+// against old statements that keep calls away.
+var _ = DescribeTable("chooses the pool",
+	func(want string, statements ...statement) {
+		manual := clock.NewManual(start)
+		choice := dispatch.NewPoolChoice(dispatch.ChoiceOptions{Clock: manual, Self: dispatch.VM{ID: "e1", Region: "r1", DataCentre: "d1"}})
+		var servers []dispatch.Server
+		for _, at := range [][2]string{{"r2", "d3"}, {"r1", "d2"}, {"r1", "d1"}} {
+			servers = append(servers, dispatch.Server{ID: at[1], Service: "orders", Region: at[0], DataCentre: at[1]})
+		}
+		choice.Update(servers, []dispatch.VM{{ID: "e1", DataCentre: "d1"}, {ID: "e2", DataCentre: "d2"}, {ID: "e3", DataCentre: "d3"}})
+		for _, s := range statements {
+			load := dispatch.Load{Healthy: s.healthy}
+			load.ExpectedWait[priority.Interactive] = s.wait
+			choice.Observe(dispatch.PoolKey{Service: "orders", DataCentre: s.dataCentre}, load, s.age)
+		}
+		target, ok := choice.Choose("orders", priority.Interactive)
+		Expect(ok).To(BeTrue())
+		Expect(target.Pool.DataCentre).To(Equal(want))
+		Expect(target.Self).To(Equal(want == "d1"))
+		Expect(target.Remote).To(Equal(want == "d3"))
+	},
+	Entry("nearest when nothing is known", "d1"),
+	Entry("nearest when the wait is below the round trip", "d1", statement{"d1", true, 2 * time.Millisecond, 0}),
+	Entry("same region when the wait is above its round trip", "d2", statement{"d1", true, 4 * time.Millisecond, 0}),
+	Entry("same region when the nearest is unhealthy", "d2", statement{"d1", false, 0, 0}),
+	Entry("other region when it is faster with its round trip", "d3",
+		statement{"d1", true, 80 * time.Millisecond, 0}, statement{"d2", true, 70 * time.Millisecond, 0}),
+	Entry("nearest again when its statement is old", "d1", statement{"d1", false, 0, 1100 * time.Millisecond}),
+	Entry("nearest when all are unhealthy", "d1", statement{"d1", false, 0, 0}, statement{"d2", false, 0, 0}, statement{"d3", false, 0, 0}),
+)
+
+// Guards against calls that keep going to a dispatcher that is dead but not yet known as such.
+var _ = It("skips a suspect dispatcher for one second and uses itself last", func() {
+	manual := clock.NewManual(start)
+	choice := dispatch.NewPoolChoice(dispatch.ChoiceOptions{Clock: manual, Self: dispatch.VM{ID: "e0", Region: "r1", DataCentre: "d1"}})
+	choice.Update([]dispatch.Server{{Service: "orders", Region: "r1", DataCentre: "d2"}},
+		[]dispatch.VM{{ID: "e1", DataCentre: "d2"}, {ID: "e2", DataCentre: "d2"}})
+	var order []string
+	for range 3 {
+		target, _ := choice.Choose("orders", priority.Interactive)
+		order = append(order, target.VM.ID)
+		choice.Suspect(target.VM.ID)
+	}
+	Expect(order[:2]).To(ConsistOf("e1", "e2"))
+	Expect(order[2]).To(Equal("e0"))
+	manual.Advance(time.Second)
+	target, _ := choice.Choose("orders", priority.Interactive)
+	Expect(target.VM.ID).To(Equal(order[0]))
+})
--- a/pkg/dispatch/runner_test.go
+++ b/pkg/dispatch/runner_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"flag"
 	"fmt"
 	"testing"
 	"time"
@@ -16,6 +17,15 @@
 	"github.com/hornbeamway/hornbeamway/pkg/problem"
 )
 
+// The seed of the property tests is fixed, so that a run can be repeated; -rapid.seed replaces it.
+func init() {
+	const seed = "20261204"
+	if err := flag.Set("rapid.seed", seed); err != nil {
+		panic(err)
+	}
+	fmt.Println("rapid seed", seed)
+}
+
 func TestDispatch(t *testing.T) {
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "dispatch")
--- a/pkg/dispatch/serverstate.go
+++ b/pkg/dispatch/serverstate.go
@@ -88,6 +88,12 @@
 // Ejected tells whether the server is out of rotation because of errors, slowness or refused connections.
 func (s *ServerState) Ejected() bool { return s.ejected || s.refused }
 
+// Refused tells whether the server is out of rotation because it refused a connection.
+func (s *ServerState) Refused() bool { return s.refused }
+
+// Draining tells whether the server said that it is going away.
+func (s *ServerState) Draining() bool { return s.draining }
+
 // LastAnswer returns the time of the last answer.
 func (s *ServerState) LastAnswer() time.Time { return s.lastAnswer }
 
--- /dev/null
+++ b/pkg/measure/planner_test.go
@@ -0,0 +1,120 @@
+package measure_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/hornbeamway/hornbeamway/pkg/clock"
+	"github.com/hornbeamway/hornbeamway/pkg/measure"
+)
+
+// The seed of the property tests is fixed, so that a run can be repeated; -rapid.seed replaces it.
+func init() {
+	const seed = "20261204"
+	if err := flag.Set("rapid.seed", seed); err != nil {
+		panic(err)
+	}
+	fmt.Println("rapid seed", seed)
+}
+
+func TestMeasure(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "measure")
+}
+
+var start = time.Unix(1_000_000, 0)
+
+// Guards against probes beyond the budget of a server or of the VM, whatever they cost and however often they are planned.
+func TestProbesStayWithinBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 6).Draw(t, "servers")
+		targets := make([]measure.Target, n)
+		for i := range targets {
+			targets[i].ID = fmt.Sprint(i)
+		}
+		now := start
+		p := measure.NewPlanner(now)
+		p.Update(now, targets)
+		spent, bytes := map[string]time.Duration{}, 0
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond)
+			target, ok := p.Next(now)
+			if !ok {
+				continue
+			}
+			cost := measure.Cost{
+				Time:  time.Duration(rapid.IntRange(100, 9000).Draw(t, "us")) * time.Microsecond,
+				Bytes: rapid.IntRange(100, 700).Draw(t, "bytes"),
+			}
+			p.Done(now, now, target.ID, measure.Result{Cost: cost}, false)
+			spent[target.ID] += cost.Time
+			bytes += cost.Bytes
+			elapsed := now.Sub(start).Seconds()
+			// Only the last probe may have cost more than was expected; the next ones wait until that is paid.
+			if limit := 5*elapsed + 9; spent[target.ID].Seconds()*1000 > limit {
+				t.Fatalf("server %s: %v in %.1f s", target.ID, spent[target.ID], elapsed)
+			}
+			if limit := 1024*elapsed + 700; float64(bytes) > limit {
+				t.Fatalf("VM: %d bytes in %.1f s", bytes, elapsed)
+			}
+		}
+	})
+}
+
+// Guards against a burst of probes when all VMs are replaced, and against probes of servers that answer calls.
+var _ = DescribeTable("plans a probe",
+	func(after, sinceAnswer time.Duration, want bool) {
+		p := measure.NewPlanner(start)
+		now := start.Add(after)
+		p.Update(start, []measure.Target{{ID: "a", LastAnswer: now.Add(-sinceAnswer)}})
+		_, ok := p.Next(now)
+		Expect(ok).To(Equal(want))
+	},
+	Entry("not at the start", time.Duration(0), time.Hour, false),
+	Entry("not before the budget allows it", 900*time.Millisecond, time.Hour, false),
+	Entry("of a quiet server", 1100*time.Millisecond, 2*time.Second, true),
+	Entry("not of a server with a recent answer", 1100*time.Millisecond, 1900*time.Millisecond, false),
+)
+
+// Guards against a probe result that overrules a later answer.
+var _ = It("drops a result that is older than the last answer", func() {
+	p := measure.NewPlanner(start)
+	p.Update(start, []measure.Target{{ID: "a"}})
+	sent := start.Add(2 * time.Second)
+	_, ok := p.Next(sent)
+	Expect(ok).To(BeTrue())
+	p.Update(sent, []measure.Target{{ID: "a", LastAnswer: sent.Add(time.Millisecond)}})
+	_, used := p.Done(sent.Add(5*time.Millisecond), sent, "a", measure.Result{}, false)
+	Expect(used).To(BeFalse())
+})
+
+type fakeProber struct{}
+
+func (fakeProber) Probe(context.Context, measure.Target) (measure.Result, error) {
+	return measure.Result{Slots: 3, Age: 300 * time.Millisecond, Cost: measure.Cost{Time: time.Millisecond, Bytes: 300}}, nil
+}
+
+// Guards against a runner that never probes, loses the age of a result or does not end.
+var _ = It("reports the result with its age and ends with its context", func() {
+	manual := clock.NewManual(start)
+	reports := make(chan measure.Report, 1)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	runner := measure.Runner{Clock: manual, Prober: fakeProber{}, Report: func(r measure.Report) { reports <- r },
+		Targets: func() []measure.Target { return []measure.Target{{ID: "a"}} }}
+	go func() { runner.Run(ctx); close(ended) }()
+	for range 2 { // the first round lists the server with an empty bucket
+		Eventually(manual.Waiters).Should(Equal(1))
+		manual.Advance(2 * time.Second)
+	}
+	Eventually(reports).Should(Receive(HaveField("At", start.Add(3700*time.Millisecond))))
+	cancel()
+	Eventually(ended).Should(BeClosed())
+})
--- a/pkg/priority/scheduler_test.go
+++ b/pkg/priority/scheduler_test.go
@@ -1,6 +1,8 @@
 package priority_test
 
 import (
+	"flag"
+	"fmt"
 	"testing"
 	"time"
 
@@ -11,6 +13,15 @@
 	"github.com/hornbeamway/hornbeamway/pkg/priority"
 )
 
+// The seed of the property tests is fixed, so that a run can be repeated; -rapid.seed replaces it.
+func init() {
+	const seed = "20261204"
+	if err := flag.Set("rapid.seed", seed); err != nil {
+		panic(err)
+	}
+	fmt.Println("rapid seed", seed)
+}
+
 func TestPriority(t *testing.T) {
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "priority")
