Forward calls to dispatchers and operations to the owners of their keys

Cause: in the first version each VM dispatched every pool itself and owned every key, so a repeated key sent through another VM would have run twice.

--- a/pkg/admin/view.go
+++ b/pkg/admin/view.go
@@ -24,7 +24,8 @@
 	listed := lo.SliceToMap(s.Members.Listed(), func(v vmlist.VM) (string, bool) { return v.ID, true })
 	answer.Listed = len(listed)
 	answer.InForceOn = lo.CountBy(s.Members.Members(), func(m membership.Member) bool {
-		return listed[m.ID] && m.PresetVersion == state.Version
+		// The entry of this VM follows with its next heartbeat, so its own state counts.
+		return listed[m.ID] && (m.ID == answer.VM || m.PresetVersion == state.Version)
 	})
 	return c.JSON(answer)
 }
--- a/pkg/proxy/entry.go
+++ b/pkg/proxy/entry.go
@@ -116,7 +116,7 @@
 // cleanAnswer removes what must not reach the caller.
 func cleanAnswer(h *fasthttp.ResponseHeader) {
 	removeHopByHop(h)
-	for _, name := range []string{headerNotRun, headerDrain, headerRefused, headerExpectedWait} {
+	for _, name := range []string{headerNotRun, headerDrain, headerRefused, headerLoad} {
 		h.Del(name)
 	}
 }
--- a/pkg/proxy/forward.go
+++ b/pkg/proxy/forward.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -11,7 +12,6 @@
 
 	"github.com/hornbeamway/hornbeamway/pkg/dispatch"
 	"github.com/hornbeamway/hornbeamway/pkg/operation"
-	"github.com/hornbeamway/hornbeamway/pkg/priority"
 	"github.com/hornbeamway/hornbeamway/pkg/problem"
 	"github.com/hornbeamway/hornbeamway/pkg/upstream"
 )
@@ -53,7 +53,7 @@
 		return errors.CombineErrors(attemptProblem(c, err), err)
 	}
 	if h.kind == hopDispatch {
-		p.learnLoad(c.route.Class, h.pool, &resp.Header)
+		p.learnLoad(h.pool, &resp.Header)
 	}
 	if len(resp.Header.Peek(headerRefused)) > 0 {
 		return decodeRefusal(resp)
@@ -84,11 +84,42 @@
 	return max(minForwardTimeout, c.deadline.Sub(p.Clock.Now())/3)
 }
 
-func (p *Proxy) learnLoad(class priority.Class, pool dispatch.PoolKey, h *fasthttp.ResponseHeader) {
-	us, err := strconv.ParseInt(string(h.Peek(headerExpectedWait)), 10, 64)
-	if err == nil {
-		p.Placement.Learn(pool, class, time.Duration(us)*time.Microsecond)
+// learnLoad takes the load that the dispatcher put on its answer.
+func (p *Proxy) learnLoad(pool dispatch.PoolKey, h *fasthttp.ResponseHeader) {
+	if load, ok := parseLoad(h.Peek(headerLoad)); ok {
+		p.Placement.Learn(pool, load)
+	}
+}
+
+// formatLoad writes whether the pool is healthy and the expected wait of each class in microseconds.
+func formatLoad(b []byte, load dispatch.Load) []byte {
+	healthy := int64(0)
+	if load.Healthy {
+		healthy = 1
+	}
+	b = strconv.AppendInt(b, healthy, 10)
+	for _, wait := range load.ExpectedWait {
+		b = append(b, ' ')
+		b = strconv.AppendInt(b, wait.Microseconds(), 10)
 	}
+	return b
+}
+
+func parseLoad(value []byte) (dispatch.Load, bool) {
+	fields := strings.Fields(string(value))
+	load := dispatch.Load{}
+	if len(fields) != 1+len(load.ExpectedWait) {
+		return load, false
+	}
+	load.Healthy = fields[0] == "1"
+	for i, field := range fields[1:] {
+		us, err := strconv.ParseInt(field, 10, 64)
+		if err != nil {
+			return load, false
+		}
+		load.ExpectedWait[i] = time.Duration(us) * time.Microsecond
+	}
+	return load, true
 }
 
 // decodeRefusal reads the problem that another entry VM answered itself.
@@ -128,7 +159,7 @@
 		p.refuseForwarded(ctx, c, err)
 	}
 	if kind == hopDispatch {
-		p.reportLoad(c, pool)
+		p.reportLoad(ctx, pool)
 	}
 }
 
@@ -166,13 +197,10 @@
 	ctx.Response.Header.Set(headerRefused, "1")
 }
 
-// reportLoad tells the entry VM how long a further call of the class would wait here.
-func (p *Proxy) reportLoad(c *call, pool dispatch.PoolKey) {
-	if c == nil || c.route == nil {
-		return
-	}
+// reportLoad tells the entry VM how long further calls would wait here.
+func (p *Proxy) reportLoad(ctx *fasthttp.RequestCtx, pool dispatch.PoolKey) {
 	if load, ok := p.Pools.Load(pool); ok {
-		wait := load.ExpectedWait[c.route.Class].Microseconds()
-		c.ctx.Response.Header.Set(headerExpectedWait, strconv.FormatInt(wait, 10))
+		var buffer [64]byte
+		ctx.Response.Header.SetBytesV(headerLoad, formatLoad(buffer[:0], load))
 	}
 }
--- a/pkg/proxy/header.go
+++ b/pkg/proxy/header.go
@@ -25,7 +25,7 @@
 	headerAttempt      = "Hornbeamway-Attempt"
 	headerPool         = "Hornbeamway-Pool"
 	headerRefused      = "Hornbeamway-Refused"
-	headerExpectedWait = "Hornbeamway-Expected-Wait-Us"
+	headerLoad         = "Hornbeamway-Load"
 )
 
 // Headers in the answers of backend servers.
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -48,7 +48,7 @@
 	// Targets returns the targets of a service, best first.
 	Targets(service string, class priority.Class) []Target
 	// Learn takes the load that a pool carried back on an answer.
-	Learn(pool dispatch.PoolKey, class priority.Class, expectedWait time.Duration)
+	Learn(pool dispatch.PoolKey, load dispatch.Load)
 	// Suspect avoids a VM for a moment after a forwarded call failed.
 	Suspect(vm string)
 }
--- a/pkg/server/fleet.go
+++ b/pkg/server/fleet.go
@@ -50,6 +50,13 @@
 	})
 }
 
+// staying returns the ids of the entry VMs that are alive and not leaving, which may own key ranges.
+func (f *fleet) staying() []string {
+	return lo.FilterMap(f.members.Members(), func(m membership.Member, _ int) (string, bool) {
+		return m.ID, m.State == membership.Alive
+	})
+}
+
 // address finds the peer address of a VM among the members, then in the VM list.
 func (f *fleet) address(vm string) (string, error) {
 	for _, m := range f.members.Members() {
@@ -89,3 +96,10 @@
 	}
 	return peer.Call[Resp](ctx, f.pool, address, method, params)
 }
+
+// registerHandover serves the operation memory that other entry VMs hand over.
+func registerHandover(server *peer.Server, ranges *operation.RangeManager) {
+	peer.Handle(server, methodHandover, func(_ context.Context, chunk operation.Chunk) (struct{}, error) {
+		return struct{}{}, ranges.Receive(chunk)
+	})
+}
--- a/pkg/server/placement.go
+++ b/pkg/server/placement.go
@@ -1,79 +1,49 @@
 package server
 
 import (
-	"sync"
-	"time"
+	"github.com/samber/lo"
 
-	"github.com/hornbeamway/hornbeamway/pkg/clock"
 	"github.com/hornbeamway/hornbeamway/pkg/dispatch"
 	"github.com/hornbeamway/hornbeamway/pkg/membership"
 	"github.com/hornbeamway/hornbeamway/pkg/priority"
 	"github.com/hornbeamway/hornbeamway/pkg/proxy"
 )
 
-// placement finds the pools of a service and the VMs that dispatch them.
+// placement finds the dispatchers of the pools of a service for the proxy.
 type placement struct {
-	clock   clock.Clock
-	members *membership.Service
-
-	mu    sync.RWMutex
-	pools map[string][]poolPlace // by service
-}
-
-type poolPlace struct {
-	key    dispatch.PoolKey
-	region string
+	choice   *dispatch.PoolChoice
+	registry *dispatch.Registry
 }
 
 var _ proxy.Placement = (*placement)(nil)
 
-func (p *placement) update(servers []dispatch.Server) {
-	pools := map[string][]poolPlace{}
-	seen := map[dispatch.PoolKey]bool{}
-	for _, s := range servers {
-		key := dispatch.PoolKey{Service: s.Service, DataCentre: s.DataCentre}
-		if !seen[key] {
-			seen[key] = true
-			pools[s.Service] = append(pools[s.Service], poolPlace{key: key, region: s.Region})
-		}
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.pools = pools
+// update takes the backend servers and the alive entry VMs of all data centres.
+func (p *placement) update(servers []dispatch.Server, members []membership.Member) {
+	p.choice.Update(servers, lo.FilterMap(members, func(m membership.Member, _ int) (dispatch.VM, bool) {
+		return dispatchVM(m), m.State == membership.Alive
+	}))
 }
 
-// Targets implements proxy.Placement.
-func (p *placement) Targets(service string, _ priority.Class) []proxy.Target {
-	self := p.members.Self()
-	p.mu.RLock()
-	pools := p.pools[service]
-	p.mu.RUnlock()
-	var targets []proxy.Target
-	for distance := range 3 {
-		for _, pool := range pools {
-			if distanceOf(self, pool) != distance {
-				continue
-			}
-			targets = append(targets, proxy.Target{
-				Pool: pool.key, VM: self.ID, Forward: self.Forward, Local: true, OtherRegion: pool.region != self.Region,
-			})
-		}
-	}
-	return targets
+func dispatchVM(m membership.Member) dispatch.VM {
+	return dispatch.VM{ID: m.ID, Region: m.Region, DataCentre: m.DataCentre, Forward: m.Forward}
 }
 
-func distanceOf(self membership.Member, pool poolPlace) int {
-	switch {
-	case pool.key.DataCentre == self.DataCentre:
-		return 0
-	case pool.region == self.Region:
-		return 1
+// Targets implements proxy.Placement.
+func (p *placement) Targets(service string, class priority.Class) []proxy.Target {
+	targets := p.choice.Targets(service, class)
+	answer := make([]proxy.Target, len(targets))
+	for i, t := range targets {
+		if load, ok := p.registry.Load(t.Pool); ok && t.Self {
+			// Pools of this VM answer without a message, so their load is learnt here.
+			p.choice.Observe(t.Pool, load, 0)
+		}
+		answer[i] = proxy.Target{Pool: t.Pool, VM: t.VM.ID, Forward: t.VM.Forward, Local: t.Self, OtherRegion: t.Remote}
 	}
-	return 2
+	return answer
 }
 
 // Learn implements proxy.Placement.
-func (p *placement) Learn(dispatch.PoolKey, priority.Class, time.Duration) {}
+func (p *placement) Learn(pool dispatch.PoolKey, load dispatch.Load) { p.choice.Observe(pool, load, 0) }
 
 // Suspect implements proxy.Placement.
-func (p *placement) Suspect(string) {}
+func (p *placement) Suspect(vm string) { p.choice.Suspect(vm) }
--- a/pkg/server/pools.go
+++ b/pkg/server/pools.go
@@ -16,12 +16,12 @@
 
 // poolUpdater brings the backend servers of the VM list and the properties of the preset in force to the pools.
 type poolUpdater struct {
-	clock    clock.Clock
-	members  *membership.Service
-	follower *preset.Follower
-	registry *dispatch.Registry
-	chooser  *placement
-	caps     *connectionCaps
+	clock     clock.Clock
+	members   *membership.Service
+	follower  *preset.Follower
+	registry  *dispatch.Registry
+	placement *placement
+	caps      *connectionCaps
 }
 
 // refreshInterval bounds the delay of a change whose notice was missed.
@@ -60,6 +60,6 @@
 		}, true
 	})
 	u.registry.Update(servers, priority.Shares(content.Shares.ByClass()))
-	u.chooser.update(servers)
+	u.placement.update(servers, u.members.Members())
 	u.caps.update(servers, content)
 }
--- a/pkg/server/providers.go
+++ b/pkg/server/providers.go
@@ -11,6 +11,7 @@
 	"github.com/hornbeamway/hornbeamway/pkg/clock"
 	"github.com/hornbeamway/hornbeamway/pkg/config"
 	"github.com/hornbeamway/hornbeamway/pkg/dispatch"
+	"github.com/hornbeamway/hornbeamway/pkg/measure"
 	"github.com/hornbeamway/hornbeamway/pkg/membership"
 	"github.com/hornbeamway/hornbeamway/pkg/operation"
 	"github.com/hornbeamway/hornbeamway/pkg/peer"
@@ -51,7 +52,11 @@
 	do.Provide(i, newRegistry)
 	do.Provide(i, newPlacement)
 	do.Provide(i, newPoolUpdater)
+	do.Provide(i, newSelf)
+	do.Provide(i, newLedger)
+	do.Provide(i, newRanges)
 	do.Provide(i, newOperations)
+	do.Provide(i, newProber)
 	do.Provide(i, newProxy)
 	do.Provide(i, newAdmin)
 	do.Provide(i, assemble)
@@ -106,36 +111,64 @@
 }
 
 func newPlacement(i do.Injector) (*placement, error) {
-	return &placement{clock: do.MustInvoke[clock.Clock](i), members: do.MustInvoke[*membership.Service](i)}, nil
+	return &placement{
+		choice: dispatch.NewPoolChoice(dispatch.ChoiceOptions{
+			Clock: do.MustInvoke[clock.Clock](i),
+			Self:  dispatchVM(do.MustInvoke[*membership.Service](i).Self()),
+		}),
+		registry: do.MustInvoke[*dispatch.Registry](i),
+	}, nil
 }
 
 func newPoolUpdater(i do.Injector) (*poolUpdater, error) {
 	return &poolUpdater{
-		clock:    do.MustInvoke[clock.Clock](i),
-		members:  do.MustInvoke[*membership.Service](i),
-		follower: do.MustInvoke[*preset.Follower](i),
-		registry: do.MustInvoke[*dispatch.Registry](i),
-		chooser:  do.MustInvoke[*placement](i),
-		caps:     do.MustInvoke[*connectionCaps](i),
+		clock:     do.MustInvoke[clock.Clock](i),
+		members:   do.MustInvoke[*membership.Service](i),
+		follower:  do.MustInvoke[*preset.Follower](i),
+		registry:  do.MustInvoke[*dispatch.Registry](i),
+		placement: do.MustInvoke[*placement](i),
+		caps:      do.MustInvoke[*connectionCaps](i),
 	}, nil
 }
 
-func newOperations(i do.Injector) (*operation.Coordinator, error) {
-	settings, id, c := do.MustInvoke[*config.Settings](i), do.MustInvoke[identity](i), do.MustInvoke[clock.Clock](i)
+func newSelf(i do.Injector) (operation.Self, error) {
+	settings, id := do.MustInvoke[*config.Settings](i), do.MustInvoke[identity](i)
 	forward, err := netip.ParseAddrPort(settings.Addresses.Forward)
-	if err != nil {
-		return nil, err
-	}
-	self := operation.Self{VM: settings.ID, Incarnation: id.incarnation, Forward: forward}
+	return operation.Self{VM: settings.ID, Incarnation: id.incarnation, Forward: forward}, err
+}
+
+func newLedger(i do.Injector) (*operation.Ledger, error) {
+	return operation.NewLedger(do.MustInvoke[clock.Clock](i).Now()), nil
+}
+
+func newRanges(i do.Injector) (*operation.RangeManager, error) {
+	f := do.MustInvoke[*fleet](i)
+	ranges := operation.NewRangeManager(operation.RangeOptions{
+		Clock:  do.MustInvoke[clock.Clock](i),
+		Log:    do.MustInvoke[platformlog.Log](i),
+		Peers:  f,
+		Ledger: do.MustInvoke[*operation.Ledger](i),
+		Self:   do.MustInvoke[operation.Self](i),
+		Alive:  f.staying,
+	})
+	registerHandover(do.MustInvoke[*peer.Server](i), ranges)
+	return ranges, nil
+}
+
+func newOperations(i do.Injector) (*operation.Coordinator, error) {
 	return operation.NewCoordinator(operation.Options{
-		Clock:  c,
-		Codec:  operation.NewCodec(settings.Credentials.Peer),
-		Self:   self,
-		Ledger: operation.NewLedger(c.Now()),
-		Ranges: operation.SingleVM{Self: self},
+		Clock:  do.MustInvoke[clock.Clock](i),
+		Codec:  operation.NewCodec(do.MustInvoke[*config.Settings](i).Credentials.Peer),
+		Self:   do.MustInvoke[operation.Self](i),
+		Ledger: do.MustInvoke[*operation.Ledger](i),
+		Ranges: do.MustInvoke[*operation.RangeManager](i),
 	}), nil
 }
 
+func newProber(i do.Injector) (*measure.Runner, error) {
+	return newProbing(do.MustInvoke[clock.Clock](i), do.MustInvoke[*dispatch.Registry](i)), nil
+}
+
 func newProxy(i do.Injector) (*proxy.Proxy, error) {
 	settings, c := do.MustInvoke[*config.Settings](i), do.MustInvoke[clock.Clock](i)
 	return proxy.New(proxy.Options{
@@ -186,6 +219,8 @@
 		pools:      do.MustInvoke[*poolUpdater](i),
 		registry:   do.MustInvoke[*dispatch.Registry](i),
 		operations: do.MustInvoke[*operation.Coordinator](i),
+		ranges:     do.MustInvoke[*operation.RangeManager](i),
+		probes:     do.MustInvoke[*measure.Runner](i),
 		proxy:      do.MustInvoke[*proxy.Proxy](i),
 		peers:      do.MustInvoke[*peer.Server](i),
 		admin:      do.MustInvoke[*admin.Server](i),
--- a/pkg/server/server.go
+++ b/pkg/server/server.go
@@ -16,6 +16,7 @@
 	"github.com/hornbeamway/hornbeamway/pkg/clock"
 	"github.com/hornbeamway/hornbeamway/pkg/config"
 	"github.com/hornbeamway/hornbeamway/pkg/dispatch"
+	"github.com/hornbeamway/hornbeamway/pkg/measure"
 	"github.com/hornbeamway/hornbeamway/pkg/membership"
 	"github.com/hornbeamway/hornbeamway/pkg/operation"
 	"github.com/hornbeamway/hornbeamway/pkg/peer"
@@ -73,6 +74,8 @@
 	pools      *poolUpdater
 	registry   *dispatch.Registry
 	operations *operation.Coordinator
+	ranges     *operation.RangeManager
+	probes     *measure.Runner
 	proxy      *proxy.Proxy
 	peers      *peer.Server
 	admin      *admin.Server
@@ -94,7 +97,7 @@
 	defer stopDuties()
 	var group sync.WaitGroup
 	for _, duty := range []func(context.Context){
-		v.members.Run, v.follower.Run, v.acceptor.Run, v.snapshots.Run, v.pools.run,
+		v.members.Run, v.follower.Run, v.acceptor.Run, v.snapshots.Run, v.pools.run, v.ranges.Run, v.probes.Run,
 	} {
 		group.Go(func() { duty(duties) })
 	}
