--- a/pkg/operation/rangeact.go
+++ b/pkg/operation/rangeact.go
@@ -48,7 +48,8 @@
 		records = append(records, claim)
 	}
 	now := m.Clock.Now()
-	if len(m.holds) > 0 && now.Sub(m.lastRenewal) >= RenewInterval {
+	// A VM without ranges renews too: only VMs that are heard in the log are given ranges.
+	if (len(m.holds) > 0 || !m.draining) && now.Sub(m.lastRenewal) >= RenewInterval {
 		m.lastRenewal = now
 		records = append(records, LogRecord{Kind: KindRenew})
 	}
@@ -116,29 +117,39 @@
 	switch {
 	case s.ownedBy(m.Self.VM, m.Self.Incarnation):
 		return false
-	case s.VM == "" && (s.Successor == "" || s.Successor == m.Self.VM):
+	case s.VM == "" && s.Successor == "":
+		return before.Sub(m.headSince) >= settleDelay
+	case s.VM == "" && s.Successor == m.Self.VM:
 		return true
 	}
 	return m.silent(r, before)
 }
 
-// plan returns the VM that should own each range. Owners that have fallen silent in the log get nothing.
+// present reports that a VM was heard in the log lately. A VM that is alive but cut off from the log gets no ranges.
+func (m *RangeManager) present(vm string, before time.Time) bool {
+	at, ok := m.heardVM[vm]
+	if m.headSince.After(at) {
+		at = m.headSince
+	}
+	return ok && before.Sub(at) < TakeoverDelay
+}
+
+// plan returns the VM that should own each range. VMs that have fallen silent in the log get nothing.
 func (m *RangeManager) plan(before time.Time) ([RangeCount]string, bool) {
 	var owners [RangeCount]string
-	gone := map[string]bool{}
 	for r, s := range m.table.Ranges {
 		owner := s.VM + s.Successor
 		switch {
 		case s.VM == m.Self.VM && s.Incarnation != m.Self.Incarnation:
 		case owner != "" && owner != m.Self.VM && m.silent(r, before):
-			gone[owner] = true
+			// The range is free for the others.
 		default:
 			owners[r] = owner
 		}
 	}
 	var alive []string
 	for _, vm := range m.Alive() {
-		if vm != m.Self.VM && !gone[vm] {
+		if vm != m.Self.VM && m.present(vm, before) {
 			alive = append(alive, vm)
 		}
 	}
@@ -203,6 +214,9 @@
 		}
 		m.settle(t, failed)
 	}
+	if failed != nil {
+		klog.InfoS("handover of key ranges failed", "ranges", len(transfers), "vm", vm, "err", failed)
+	}
 	m.poke()
 }
 
@@ -233,7 +247,6 @@
 	case err == nil:
 		t.phase = phaseConfirmed
 	default:
-		klog.InfoS("handover of a key range failed", "range", t.keyRange, "vm", t.to, "err", err)
 		m.backoff[t.to] = m.Clock.Now().Add(handoverBackoff)
 		m.endTransfer(t.keyRange)
 	}
--- a/pkg/operation/ranges.go
+++ b/pkg/operation/ranges.go
@@ -17,6 +17,8 @@
 	pollInterval = time.Second
 	// maxSnapshotInterval bounds the time between snapshots when the log keeps records for long.
 	maxSnapshotInterval = 10 * time.Minute
+	// settleDelay is the time at the log's head after which a VM has read a renewal of every VM that keeps up.
+	settleDelay = RenewInterval + pollInterval
 	// handoverWait is the time that running operations get to finish before their range is exported.
 	handoverWait = time.Second
 	// handoverTimeout bounds the transfer of all ranges that go to one VM.
@@ -69,6 +71,7 @@
 	sequence uint64
 	// heard and changed are the times at which this VM read a process's last record and a range's last change.
 	heard   map[process]time.Time
+	heardVM map[string]time.Time
 	changed [RangeCount]time.Time
 	// headSince is the time since which this VM has been at the log's head; zero while it is not.
 	headSince    time.Time
@@ -76,6 +79,8 @@
 	lastSnapshot time.Time
 	backoff      map[string]time.Time
 	draining     bool
+	// unclean counts the ranges of one batch that this VM got without their memory.
+	unclean int
 }
 
 // NewRangeManager returns a manager that owns nothing until Run has claimed ranges.
@@ -91,6 +96,7 @@
 		transfers:    map[int]*transfer{},
 		sent:         map[uint64]time.Time{},
 		heard:        map[process]time.Time{},
+		heardVM:      map[string]time.Time{},
 		backoff:      map[string]time.Time{},
 	}
 	m.holdings.Store(&[RangeCount]Holding{})
@@ -153,7 +159,13 @@
 		e := m.table.Apply(r)
 		m.observe(now, &e)
 	}
-	m.publish()
+	if m.unclean > 0 {
+		klog.InfoS("key ranges taken over without their memory", "ranges", m.unclean, "window", UncleanWindow)
+		m.unclean = 0
+	}
+	if len(batch.Records) > 0 || !m.table.Ready {
+		m.publish()
+	}
 }
 
 // observe updates what this VM knows beside the table.
@@ -161,7 +173,7 @@
 	if e.Kind == "" {
 		return
 	}
-	m.heard[process{e.VM, e.Incarnation}] = now
+	m.hear(now, process{e.VM, e.Incarnation})
 	if e.Kind == KindSnapshot || e.Kind == KindReset {
 		m.lastSnapshot = now
 	}
@@ -179,6 +191,19 @@
 	m.confirm(e)
 }
 
+// hear notes a record of a process. It shows that earlier incarnations of that VM have ended.
+func (m *RangeManager) hear(now time.Time, p process) {
+	if _, known := m.heard[p]; !known {
+		for other := range m.heard {
+			if other.vm == p.vm {
+				delete(m.heard, other)
+			}
+		}
+	}
+	m.heard[p] = now
+	m.heardVM[p.vm] = now
+}
+
 // sync brings the hold of a range in line with the table.
 func (m *RangeManager) sync(now time.Time, r int, c *Change, e *Event) {
 	s := m.table.Ranges[r]
@@ -206,7 +231,7 @@
 		m.Ledger.install(now, r, st.entries)
 		return st.windowEnd
 	}
-	klog.InfoS("key range taken over without its memory", "range", r, "window", UncleanWindow)
+	m.unclean++
 	return now.Add(UncleanWindow)
 }
 
@@ -286,8 +311,8 @@
 	for _, s := range m.stages {
 		staged += len(s.entries)
 	}
-	if m.draining || staged > m.Ledger.room() {
-		return errors.Wrap(ErrHandoverRefused, "draining or memory full")
+	if m.draining || m.headSince.IsZero() || staged > m.Ledger.room() {
+		return errors.Wrap(ErrHandoverRefused, "draining, behind the log, or memory full")
 	}
 	st := m.stages[c.Range]
 	if st == nil || (c.Index == 0 && st.handover != c.Handover) {
