--- a/pkg/dispatch/health.go
+++ b/pkg/dispatch/health.go
@@ -43,8 +43,12 @@
 		s.observe(max(p.errorSlowness(now, l), l.slowness(r.Latency)), true)
 		s.failed(now)
 	case TimedOut:
-		s.observe(max(p.errorSlowness(now, l), l.slowness(r.Latency)), true)
-		s.failed(now)
+		// In a flood many calls are sent shortly before their deadline. Their end says nothing about the server: counted
+		// as errors they ejected healthy servers in the middle of a flood of bulk.
+		if slowness := l.slowness(r.Latency); slowness >= p.errorSlowness(now, l) {
+			s.observe(slowness, true)
+			s.failed(now)
+		}
 	case Cancelled:
 		// The call would have taken longer than this; it says nothing when it is short.
 		if slowness := l.slowness(r.Latency); slowness > s.slowness {
@@ -72,7 +76,7 @@
 
 // Report takes a load report. It never overrules answers: a drain report counts only if it is newer than the last
 // answer, and a report of readiness ends a drain only long after the drain answer.
-func (p *Pool) Report(now time.Time, id string, r Report) {
+func (p *Pool) Report(now time.Time, id string, r LoadReport) {
 	s := p.byID[id]
 	if s == nil || !r.At.After(s.report.At) {
 		return
--- a/pkg/dispatch/poolchoice.go
+++ b/pkg/dispatch/poolchoice.go
@@ -114,36 +114,50 @@
 	return true
 }
 
-// expectedWait returns the expected wait of a new request of class c: by strict order behind all classes that are at
-// least as urgent, on the slots that the less urgent ones leave; or behind its own class on its minimum share, if that
-// is shorter.
+// longestWait is returned for a class that cannot count on any slot.
+const longestWait = time.Hour
+
+// expectedWait returns the expected wait of a new request of class c: behind its own class and the more urgent ones on
+// what they leave; or behind its own class on its minimum share, if that is shorter.
 func (p *Pool) expectedWait(c priority.Class) time.Duration {
 	slots := float64(max(p.rotation(), 1))
 	if p.Queued() == 0 {
 		return p.waitOfFirst(slots, c)
 	}
-	ahead, left := 0.0, 1.0
-	for _, other := range priority.Classes() {
-		switch {
-		case other <= c:
-			ahead += float64(p.queue.Len(other)) * p.queue.MeanCost(other)
-		case p.queue.Len(other) > 0:
-			left -= p.shares[other]
-		}
+	own := float64(p.queue.Len(c)) * p.queue.MeanCost(c)
+	ahead := own
+	for other := priority.Interactive; other < c; other++ {
+		ahead += float64(p.queue.Len(other)) * p.queue.MeanCost(other)
 	}
-	wait := math.Inf(1)
-	if left > 0 {
-		wait = ahead / (slots * left)
+	wait := longestWait.Seconds()
+	if part := p.leftFor(c, slots); part > 0 {
+		wait = min(wait, ahead/(slots*part))
 	}
 	if share := p.shares[c]; share > 0 {
-		wait = min(wait, float64(p.queue.Len(c))*p.queue.MeanCost(c)/(slots*share))
-	}
-	if math.IsInf(wait, 1) {
-		return math.MaxInt64
+		wait = min(wait, own/(slots*share))
 	}
 	return time.Duration(wait * float64(time.Second))
 }
 
+// leftFor returns the part of the slots that the more urgent classes have not used lately and that the less urgent ones
+// that wait may not claim. The queue lengths alone leave out the urgent calls that keep arriving, so that the backlog
+// of bulk that a flood leaves is longer than its deadline allows.
+func (p *Pool) leftFor(c priority.Class, slots float64) float64 {
+	part := 1.0
+	for _, other := range priority.Classes() {
+		switch {
+		case other < c:
+			part -= p.queue.Rate(other) / slots
+		case other > c && p.queue.Len(other) > 0:
+			part -= p.shares[other]
+		}
+	}
+	if c == priority.Bulk {
+		part = min(part, bulkShare)
+	}
+	return part
+}
+
 // waitOfFirst returns the expected wait when nothing is queued: none with a free slot, else the time until the first of
 // the running calls ends.
 func (p *Pool) waitOfFirst(slots float64, c priority.Class) time.Duration {
--- a/pkg/dispatch/runner.go
+++ b/pkg/dispatch/runner.go
@@ -150,7 +150,7 @@
 }
 
 // Report takes a load report of a server.
-func (r *Runner) Report(id string, report Report) {
+func (r *Runner) Report(id string, report LoadReport) {
 	r.send(event{kind: eventReport, update: func(p *Pool, now time.Time) { p.Report(now, id, report) }})
 }
 
--- a/pkg/dispatch/serverstate.go
+++ b/pkg/dispatch/serverstate.go
@@ -50,11 +50,11 @@
 
 	lastTried  time.Time
 	lastAnswer time.Time
-	report     Report
+	report     LoadReport
 }
 
-// Report is a load report of a server. It is a hint: answers count more.
-type Report struct {
+// LoadReport is a load report of a server. It is a hint: answers count more.
+type LoadReport struct {
 	Slots, Busy, Queued int
 	Draining            bool
 	// At is the time at which the report was true, on the clock of this VM.
@@ -98,7 +98,7 @@
 func (s *ServerState) LastAnswer() time.Time { return s.lastAnswer }
 
 // LoadReport returns the last load report and whether it is recent enough for use.
-func (s *ServerState) LoadReport(now time.Time) (Report, bool) {
+func (s *ServerState) LoadReport(now time.Time) (LoadReport, bool) {
 	return s.report, !s.report.At.IsZero() && now.Sub(s.report.At) <= reportMaxAge
 }
 
--- a/pkg/priority/scheduler.go
+++ b/pkg/priority/scheduler.go
@@ -49,6 +49,7 @@
 // account is the credit of one class, in the unit of Charge.
 type account struct {
 	credit      float64
+	used        float64 // decayed over accountWindow
 	estimated   float64 // sum of the estimates of items that were popped and not charged yet
 	outstanding int
 	meanCost    float64
@@ -157,6 +158,9 @@
 // what all classes used in the last second.
 func (s *Scheduler[T]) Credit(c Class) float64 { return s.accounts[c].credit }
 
+// Rate returns the recent use of class c per second, in the unit of Charge.
+func (s *Scheduler[T]) Rate(c Class) float64 { return s.accounts[c].used / accountWindow.Seconds() }
+
 // Charge corrects the use of class c by the real cost of one popped item.
 func (s *Scheduler[T]) Charge(c Class, cost float64) {
 	a := &s.accounts[c]
@@ -186,6 +190,7 @@
 func (s *Scheduler[T]) use(c Class, amount float64) {
 	s.total = max(s.total+amount, 0)
 	s.accounts[c].credit -= amount
+	s.accounts[c].used = max(s.accounts[c].used+amount, 0)
 	for i := range s.accounts {
 		a := &s.accounts[i]
 		bound := s.shares[i] * s.total
@@ -234,6 +239,10 @@
 		return
 	}
 	s.decayed = now
-	s.total *= math.Exp(-elapsed.Seconds() / accountWindow.Seconds())
+	factor := math.Exp(-elapsed.Seconds() / accountWindow.Seconds())
+	s.total *= factor
+	for c := range s.accounts {
+		s.accounts[c].used *= factor
+	}
 	s.use(Interactive, 0)
 }
