Pace bytes for the other region by the preset in force

Cause: the pacer took its settings once, before any preset is known. Ruled out: a new pacer per preset: the peer server's handlers belong to one, and pledges made under the old one would be counted twice. Change: Pacer.Configure; every VM runs a pacer with the link of the preset. Conclusion: calls across regions are paced once the proxy waits for it.

--- a/pkg/link/shares.go
+++ b/pkg/link/shares.go
@@ -12,6 +12,7 @@
 	Pop(now time.Time) (T, priority.Class, bool)
 	Charge(c priority.Class, cost float64)
 	Len(c priority.Class) int
+	SetShares(Shares)
 }
 
 // shareQueue serves first a waiting class that has used less than its minimum share, in order of urgency, then the most
@@ -29,6 +30,9 @@
 	return &shareQueue[T]{shares: shares, limit: limit, window: window}
 }
 
+// SetShares replaces the minimum shares.
+func (q *shareQueue[T]) SetShares(shares Shares) { q.shares = shares }
+
 // Push adds an item; false means that the class's queue is full.
 func (q *shareQueue[T]) Push(c priority.Class, item T) bool {
 	if len(q.items[c]) >= q.limit {
--- a/pkg/server/pools.go
+++ b/pkg/server/pools.go
@@ -8,6 +8,7 @@
 
 	"github.com/hornbeamway/hornbeamway/pkg/clock"
 	"github.com/hornbeamway/hornbeamway/pkg/dispatch"
+	"github.com/hornbeamway/hornbeamway/pkg/link"
 	"github.com/hornbeamway/hornbeamway/pkg/membership"
 	"github.com/hornbeamway/hornbeamway/pkg/preset"
 	"github.com/hornbeamway/hornbeamway/pkg/priority"
@@ -22,6 +23,7 @@
 	registry  *dispatch.Registry
 	placement *placement
 	caps      *connectionCaps
+	pacer     *link.Pacer
 }
 
 // refreshInterval bounds the delay of a change whose notice was missed.
@@ -62,4 +64,5 @@
 	u.registry.Update(servers, priority.Shares(content.Shares.ByClass()))
 	u.placement.update(servers, u.members.Members())
 	u.caps.update(servers, content)
+	configureLink(u.pacer, content)
 }
--- a/pkg/server/probing.go
+++ b/pkg/server/probing.go
@@ -41,7 +41,7 @@
 }
 
 func reportTo(registry *dispatch.Registry, r measure.Report) {
-	report := dispatch.Report{Busy: r.Busy, Queued: r.Queued, Draining: r.Draining, At: r.At}
+	report := dispatch.LoadReport{Busy: r.Busy, Queued: r.Queued, Draining: r.Draining, At: r.At}
 	for _, runner := range registry.Runners() {
 		runner.Report(r.ID, report)
 	}
--- a/pkg/server/providers.go
+++ b/pkg/server/providers.go
@@ -11,6 +11,7 @@
 	"github.com/hornbeamway/hornbeamway/pkg/clock"
 	"github.com/hornbeamway/hornbeamway/pkg/config"
 	"github.com/hornbeamway/hornbeamway/pkg/dispatch"
+	"github.com/hornbeamway/hornbeamway/pkg/link"
 	"github.com/hornbeamway/hornbeamway/pkg/measure"
 	"github.com/hornbeamway/hornbeamway/pkg/membership"
 	"github.com/hornbeamway/hornbeamway/pkg/operation"
@@ -57,6 +58,7 @@
 	do.Provide(i, newRanges)
 	do.Provide(i, newOperations)
 	do.Provide(i, newProber)
+	do.Provide(i, newPacer)
 	do.Provide(i, newProxy)
 	do.Provide(i, newAdmin)
 	do.Provide(i, assemble)
@@ -128,6 +130,7 @@
 		registry:  do.MustInvoke[*dispatch.Registry](i),
 		placement: do.MustInvoke[*placement](i),
 		caps:      do.MustInvoke[*connectionCaps](i),
+		pacer:     do.MustInvoke[*link.Pacer](i),
 	}, nil
 }
 
@@ -183,6 +186,7 @@
 			Clock: c, MaxConns: do.MustInvoke[*connectionCaps](i).forAddress, NewConnRate: newConnRate, NewConnBurst: newConnBurst,
 		}),
 		Forward: upstream.NewTransport(upstream.Options{Clock: c}),
+		Pacer:   do.MustInvoke[*link.Pacer](i),
 		Region:  settings.Region,
 	}), nil
 }
@@ -221,6 +225,7 @@
 		operations: do.MustInvoke[*operation.Coordinator](i),
 		ranges:     do.MustInvoke[*operation.RangeManager](i),
 		probes:     do.MustInvoke[*measure.Runner](i),
+		pacer:      do.MustInvoke[*link.Pacer](i),
 		proxy:      do.MustInvoke[*proxy.Proxy](i),
 		peers:      do.MustInvoke[*peer.Server](i),
 		admin:      do.MustInvoke[*admin.Server](i),
--- a/pkg/server/server.go
+++ b/pkg/server/server.go
@@ -16,6 +16,7 @@
 	"github.com/hornbeamway/hornbeamway/pkg/clock"
 	"github.com/hornbeamway/hornbeamway/pkg/config"
 	"github.com/hornbeamway/hornbeamway/pkg/dispatch"
+	"github.com/hornbeamway/hornbeamway/pkg/link"
 	"github.com/hornbeamway/hornbeamway/pkg/measure"
 	"github.com/hornbeamway/hornbeamway/pkg/membership"
 	"github.com/hornbeamway/hornbeamway/pkg/operation"
@@ -76,6 +77,7 @@
 	operations *operation.Coordinator
 	ranges     *operation.RangeManager
 	probes     *measure.Runner
+	pacer      *link.Pacer
 	proxy      *proxy.Proxy
 	peers      *peer.Server
 	admin      *admin.Server
@@ -97,7 +99,7 @@
 	defer stopDuties()
 	var group sync.WaitGroup
 	for _, duty := range []func(context.Context){
-		v.members.Run, v.follower.Run, v.acceptor.Run, v.snapshots.Run, v.pools.run, v.ranges.Run, v.probes.Run,
+		v.members.Run, v.follower.Run, v.acceptor.Run, v.snapshots.Run, v.pools.run, v.ranges.Run, v.probes.Run, v.pacer.Run,
 	} {
 		group.Go(func() { duty(duties) })
 	}
