lab: add the load generator and the demo

Cause: promises about orders and answers can only be shown with traffic whose every answer is checked and whose orders are compared with the journals of the backend servers.

Ruled out: timers of the Go runtime for the arrivals; they are up to a millisecond late in an idle process, which a latency from the intended send time would contain.

Change: package internal/lab/load (open loop, Poisson or fixed, HDR histograms, health-checked entry VMs, own keys and tickets with retries, checks), package internal/lab/demo, commands demo and load.

--- a/cmd/hornbeamlab/main.go
+++ b/cmd/hornbeamlab/main.go
@@ -1,4 +1,46 @@
-// Command hornbeamlab is a placeholder until its package exists.
+// Command hornbeamlab starts whole systems on loopback, generates load and measures.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alexflint/go-arg"
+	"github.com/cockroachdb/errors"
+)
+
+type arguments struct {
+	Demo *demoCommand `arg:"subcommand:demo" help:"two regions on loopback, traffic of all classes, changes of the preset and a drain; a report"`
+	Load *loadCommand `arg:"subcommand:load" help:"load a running system"`
+}
+
+// Description implements arg.Described.
+func (arguments) Description() string {
+	return "Starts systems of child processes on loopback, generates load, checks answers and measures."
+}
+
+func main() {
+	var args arguments
+	parser := arg.MustParse(&args)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	var err error
+	switch {
+	case args.Demo != nil:
+		err = args.Demo.run(ctx)
+	case args.Load != nil:
+		err = args.Load.run(ctx)
+	default:
+		parser.Fail("a subcommand is required")
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "hornbeamlab:", err)
+		if errors.Is(err, context.Canceled) {
+			os.Exit(130)
+		}
+		os.Exit(1)
+	}
+}
--- a/internal/lab/cluster/cluster.go
+++ b/internal/lab/cluster/cluster.go
@@ -303,3 +303,6 @@
 	}
 	return nil
 }
+
+// Deployment returns the name of the topology.
+func (c *Cluster) Deployment() string { return c.options.Topology.Name }
