Count service-level burn in every entry VM

Cause: the users ask for a report on service-level burn. Ruled out: computing it from the latency histograms, whose buckets do not match the objectives. Change: the proxy reports each call to the burn tracker, the preset in force sets the objectives, GET /v1/burn shows them.

--- a/pkg/admin/server.go
+++ b/pkg/admin/server.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/gofiber/fiber/v3"
 
+	"github.com/hornbeamway/hornbeamway/pkg/burn"
 	"github.com/hornbeamway/hornbeamway/pkg/config"
 	"github.com/hornbeamway/hornbeamway/pkg/dispatch"
 	"github.com/hornbeamway/hornbeamway/pkg/membership"
@@ -51,6 +52,13 @@
 	Pools       Pools
 	// Ready reports whether this VM admits calls, and why not.
 	Ready func() (ok bool, reason string)
+	// Burn tells the burn rates of the service-level objectives.
+	Burn BurnReporter
+}
+
+// BurnReporter tells the burn rates of this VM.
+type BurnReporter interface {
+	Report() burn.Report
 }
 
 // Server serves the API. It is safe for concurrent use.
@@ -82,6 +90,7 @@
 	v1.Get("/proposals/:id", s.progress)
 	v1.Get("/vms", s.vms)
 	v1.Get("/servers", s.servers)
+	v1.Get("/burn", func(c fiber.Ctx) error { return c.JSON(s.Burn.Report()) })
 	v1.Post("/bootstrap", requireRole(Operator), s.bootstrap)
 	v1.Post("/proposals", requireRole(Operator), s.propose)
 	v1.Post("/proposals/:id/withdraw", requireRole(Operator), s.withdraw)
--- a/pkg/server/pools.go
+++ b/pkg/server/pools.go
@@ -5,7 +5,9 @@
 	"time"
 
 	"github.com/samber/lo"
+	"k8s.io/klog/v2"
 
+	"github.com/hornbeamway/hornbeamway/pkg/burn"
 	"github.com/hornbeamway/hornbeamway/pkg/clock"
 	"github.com/hornbeamway/hornbeamway/pkg/dispatch"
 	"github.com/hornbeamway/hornbeamway/pkg/link"
@@ -24,6 +26,7 @@
 	placement *placement
 	caps      *connectionCaps
 	pacer     *link.Pacer
+	burn      *burn.Tracker
 }
 
 // refreshInterval bounds the delay of a change whose notice was missed.
@@ -65,4 +68,20 @@
 	u.placement.update(servers, u.members.Members())
 	u.caps.update(servers, content)
 	configureLink(u.pacer, content)
+	setObjectives(u.burn, content)
+}
+
+// setObjectives brings the service-level objectives of the preset in force to the burn tracker.
+func setObjectives(tracker *burn.Tracker, content *preset.Content) {
+	objectives := map[burn.Key]burn.Objective{}
+	for _, service := range content.Services {
+		for class, o := range service.Objectives {
+			objectives[burn.Key{Service: service.Name, Class: class}] = burn.Objective{
+				Latency: o.Latency.Std(), Target: o.Target, Window: o.Window.Std(),
+			}
+		}
+	}
+	if err := tracker.SetObjectives(objectives); err != nil {
+		klog.ErrorS(err, "objectives of the preset cannot be used", "preset", content.Name)
+	}
 }
--- a/pkg/server/providers.go
+++ b/pkg/server/providers.go
@@ -5,9 +5,11 @@
 	"net/netip"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/samber/do/v2"
 
 	"github.com/hornbeamway/hornbeamway/pkg/admin"
+	"github.com/hornbeamway/hornbeamway/pkg/burn"
 	"github.com/hornbeamway/hornbeamway/pkg/clock"
 	"github.com/hornbeamway/hornbeamway/pkg/config"
 	"github.com/hornbeamway/hornbeamway/pkg/dispatch"
@@ -59,6 +61,7 @@
 	do.Provide(i, newOperations)
 	do.Provide(i, newProber)
 	do.Provide(i, newPacer)
+	do.Provide(i, newBurnTracker)
 	do.Provide(i, newProxy)
 	do.Provide(i, newAdmin)
 	do.Provide(i, assemble)
@@ -131,6 +134,7 @@
 		placement: do.MustInvoke[*placement](i),
 		caps:      do.MustInvoke[*connectionCaps](i),
 		pacer:     do.MustInvoke[*link.Pacer](i),
+		burn:      do.MustInvoke[*burn.Tracker](i),
 	}, nil
 }
 
@@ -168,6 +172,10 @@
 	}), nil
 }
 
+func newBurnTracker(i do.Injector) (*burn.Tracker, error) {
+	return burn.NewTracker(do.MustInvoke[clock.Clock](i), metrics.GetDefaultSet()), nil
+}
+
 func newProber(i do.Injector) (*measure.Runner, error) {
 	return newProbing(do.MustInvoke[clock.Clock](i), do.MustInvoke[*dispatch.Registry](i)), nil
 }
@@ -185,9 +193,10 @@
 		Backends: upstream.NewTransport(upstream.Options{
 			Clock: c, MaxConns: do.MustInvoke[*connectionCaps](i).forAddress, NewConnRate: newConnRate, NewConnBurst: newConnBurst,
 		}),
-		Forward: upstream.NewTransport(upstream.Options{Clock: c}),
-		Pacer:   do.MustInvoke[*link.Pacer](i),
-		Region:  settings.Region,
+		Forward:  upstream.NewTransport(upstream.Options{Clock: c}),
+		Observer: do.MustInvoke[*burn.Tracker](i),
+		Pacer:    do.MustInvoke[*link.Pacer](i),
+		Region:   settings.Region,
 	}), nil
 }
 
@@ -202,6 +211,7 @@
 		Members:     do.MustInvoke[*membership.Service](i),
 		Pools:       do.MustInvoke[*dispatch.Registry](i),
 		Ready:       do.MustInvoke[*proxy.Proxy](i).Ready,
+		Burn:        do.MustInvoke[*burn.Tracker](i),
 	}), nil
 }
 
