Test slot limits and cancellation races; survey the servers in one pass

Cause: the slot limits per class and the race between a grant and a caller that leaves had no test, and Acquire allocated a copy of the server per slot.

Ruled out: fewer passes over the servers as a gain in speed.

Change: the two tests; one survey per grant; events are handed over with a non-blocking send first; the slot refers to the lease instead of copying.

--- a/pkg/dispatch/pool.go
+++ b/pkg/dispatch/pool.go
@@ -167,13 +167,13 @@
 			p.refuseAll(now, decide)
 			return
 		}
-		allowed := p.allowed(now)
-		w, c, ok := p.queue.PopAllowed(now, allowed)
+		found := p.survey(now)
+		w, c, ok := p.queue.PopAllowed(now, p.allowed(found))
 		if !ok {
 			return
 		}
 		w.queued = false
-		if lease, refused := p.serve(now, w, c); refused != nil {
+		if lease, refused := p.serve(now, w, c, found.lastResort); refused != nil {
 			p.queue.Charge(c, 0)
 			decide(w, nil, refused)
 		} else {
@@ -203,12 +203,12 @@
 }
 
 // serve grants a slot to w. PopAllowed was called with the classes for which a server is free.
-func (p *Pool) serve(now time.Time, w *Waiter, c priority.Class) (*Lease, *problem.Problem) {
+func (p *Pool) serve(now time.Time, w *Waiter, c priority.Class, lastResort bool) (*Lease, *problem.Problem) {
 	r := &w.Request
 	if !r.Deadline.IsZero() && !r.Deadline.After(now) {
 		return nil, expired()
 	}
-	s := p.choose(now, r)
+	s := p.choose(now, r, lastResort)
 	if s == nil {
 		return nil, refusal(problem.ReasonNoServer, "no other server is free", 0)
 	}
--- a/pkg/dispatch/pool_test.go
+++ b/pkg/dispatch/pool_test.go
@@ -258,3 +258,29 @@
 	_, refused = p.offer(dispatch.Request{Deadline: p.now.Add(250 * time.Millisecond)})
 	Expect(refused).To(BeNil())
 })
+
+// Guards against a class that takes all slots, which are not preempted, before an urgent call arrives or while others wait.
+var _ = DescribeTable("limits the slots that a class holds",
+	func(first, then []priority.Class, want [priority.NumClasses]int) {
+		p := newPooled(fleet(10, 1))
+		var held [priority.NumClasses]int
+		for _, classes := range [][]priority.Class{first, then} {
+			for _, c := range classes {
+				for range 10 {
+					p.offer(dispatch.Request{Class: c})
+				}
+			}
+			p.pool.Dispatch(p.now, func(w *dispatch.Waiter, l *dispatch.Lease, refused *problem.Problem) {
+				p.decide(GinkgoT())(w, l, refused)
+				held[w.Request.Class]++
+			})
+		}
+		Expect(held).To(Equal(want))
+	},
+	Entry("bulk alone: half", []priority.Class{priority.Bulk}, nil, [3]int{0, 0, 5}),
+	Entry("interactive alone: all", []priority.Class{priority.Interactive}, nil, [3]int{10, 0, 0}),
+	Entry("interactive while bulk waits: all but the share of bulk",
+		[]priority.Class{priority.Interactive, priority.Bulk}, nil, [3]int{9, 0, 1}),
+	Entry("bulk first, then interactive: the rest", []priority.Class{priority.Bulk}, []priority.Class{priority.Interactive}, [3]int{5, 0, 5}),
+	Entry("bulk first, then transactional: the rest", []priority.Class{priority.Bulk}, []priority.Class{priority.Transactional}, [3]int{0, 5, 5}),
+)
--- a/pkg/dispatch/poolchoice.go
+++ b/pkg/dispatch/poolchoice.go
@@ -33,34 +33,47 @@
 	return slots
 }
 
+// survey is what one pass over the servers finds.
+type survey struct {
+	slots      int  // in rotation
+	anyFree    bool // any class finds a server
+	bulkFree   bool // bulk finds a server, at least for a trial
+	lastResort bool // no server is in rotation, so that ejected ones must be used
+}
+
+func (p *Pool) survey(now time.Time) survey {
+	v := survey{lastResort: true}
+	ejectedFree := false
+	for _, s := range p.servers {
+		switch {
+		case s.inRotation():
+			v.lastResort = false
+			v.slots += s.Limit()
+			v.anyFree = v.anyFree || s.free()
+		case s.open() && !s.refused && s.free():
+			ejectedFree = true
+		}
+		if s.busy == 0 {
+			v.anyFree = v.anyFree || s.trialDue(now, false)
+			v.bulkFree = v.bulkFree || s.trialDue(now, true)
+		}
+	}
+	v.anyFree = v.anyFree || v.lastResort && ejectedFree
+	v.bulkFree = v.bulkFree || v.anyFree
+	return v
+}
+
 // allowed returns the classes that may get a slot now.
-func (p *Pool) allowed(now time.Time) priority.ClassSet {
+func (p *Pool) allowed(v survey) priority.ClassSet {
 	var set priority.ClassSet
-	any, bulk := p.hasFree(now)
-	if !any && !bulk {
-		return 0
-	}
-	slots := p.rotation()
 	for _, c := range priority.Classes() {
-		if (any || c == priority.Bulk) && p.held[c] < p.classLimit(c, slots) {
+		if (v.anyFree || v.bulkFree && c == priority.Bulk) && p.held[c] < p.classLimit(c, v.slots) {
 			set = set.With(c)
 		}
 	}
 	return set
 }
 
-// hasFree tells whether any class, or at least bulk, finds a free server.
-func (p *Pool) hasFree(now time.Time) (any, bulk bool) {
-	fallback := p.lastResort()
-	for _, s := range p.servers {
-		if s.trialDue(now, false) || (s.inRotation() || fallback && s.open() && !s.refused) && s.free() {
-			return true, true
-		}
-		bulk = bulk || s.trialDue(now, true)
-	}
-	return false, bulk
-}
-
 // classLimit returns the number of slots that class c may hold: 1 minus the shares of the other classes that wait.
 // The limits are rounded so that together they never leave a slot unused; each class may hold at least one slot.
 func (p *Pool) classLimit(c priority.Class, slots int) int {
@@ -78,9 +91,8 @@
 }
 
 // choose returns the server for r, or nil when r may not use any of the free ones.
-func (p *Pool) choose(now time.Time, r *Request) *ServerState {
+func (p *Pool) choose(now time.Time, r *Request, lastResort bool) *ServerState {
 	preferred := r.Class == priority.Bulk || r.Hedged
-	fallback := p.lastResort()
 	p.candidates = p.candidates[:0]
 	for _, s := range p.servers {
 		if slices.Contains(r.Exclude, s.server.ID) {
@@ -89,7 +101,7 @@
 		if s.trialDue(now, preferred) {
 			return s
 		}
-		if (s.inRotation() || fallback && s.open() && !s.refused) && s.free() {
+		if (s.inRotation() || lastResort && s.open() && !s.refused) && s.free() {
 			p.candidates = append(p.candidates, s)
 		}
 	}
@@ -101,17 +113,7 @@
 	}
 	again := *r
 	again.Exclude = nil
-	return p.choose(now, &again)
-}
-
-// lastResort tells whether ejected servers must be used because no other server is in rotation.
-func (p *Pool) lastResort() bool {
-	for _, s := range p.servers {
-		if s.inRotation() {
-			return false
-		}
-	}
-	return true
+	return p.choose(now, &again, lastResort)
 }
 
 // longestWait is returned for a class that cannot count on any slot.
--- a/pkg/dispatch/runner.go
+++ b/pkg/dispatch/runner.go
@@ -81,8 +81,6 @@
 	w.Request, w.queued = request, false
 	select {
 	case r.events <- event{kind: eventAcquire, waiter: w}:
-	case <-r.stopped:
-		return nil, stoppedProblem()
 	default:
 		return nil, refusal(problem.ReasonQueueFull, "the dispatcher is behind", 0)
 	}
@@ -127,11 +125,17 @@
 	if answer.problem != nil {
 		return nil, answer.problem
 	}
-	return &slot{runner: r, lease: answer.lease, server: answer.lease.server}, nil
+	return &slot{runner: r, lease: answer.lease}, nil
 }
 
 // send hands an event to the goroutine. The wait is short: the goroutine waits for nothing else. False after the stop.
 func (r *Runner) send(e event) bool {
+	// A select with one case and a default costs much less than one with two cases.
+	select {
+	case r.events <- e:
+		return true
+	default:
+	}
 	select {
 	case r.events <- e:
 		return true
@@ -260,12 +264,11 @@
 type slot struct {
 	runner   *Runner
 	lease    *Lease
-	server   Server
 	released atomic.Bool
 }
 
 // Server implements Slot.
-func (s *slot) Server() Server { return s.server }
+func (s *slot) Server() Server { return s.lease.server }
 
 // Release implements Slot.
 func (s *slot) Release(result Result) {
--- a/pkg/dispatch/runner_test.go
+++ b/pkg/dispatch/runner_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"flag"
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -117,6 +118,29 @@
 		Expect(reasonOf(<-waiting)).To(Equal(problem.ReasonDeadline))
 	})
 
+	// Guards against slots and answers that are lost or given twice when callers leave while a slot is granted to them.
+	It("loses no slot when callers leave at any moment", func() {
+		var callers sync.WaitGroup
+		for range 8 {
+			callers.Go(func() {
+				for range 300 {
+					ctx, cancel := context.WithCancel(context.Background())
+					go cancel()
+					if slot, err := registry.Acquire(ctx, request); err == nil {
+						slot.Release(dispatch.Result{Latency: time.Millisecond})
+					}
+				}
+			})
+		}
+		callers.Wait()
+		for _, runner := range registry.Runners() {
+			Expect(runner.Inspect()).To(HaveEach(HaveField("Busy()", 0)))
+		}
+		slot, err := registry.Acquire(context.Background(), request)
+		Expect(err).NotTo(HaveOccurred())
+		slot.Release(dispatch.Result{})
+	})
+
 	// Guards against callers that hang at a planned stop.
 	It("refuses waiting requests when it stops", func() {
 		_, _ = registry.Acquire(context.Background(), request)
