Probe only the pools that this VM dispatches

Cause: a pool that moved to another VM, or that was served as a fallback, stayed in the registry and would have been probed by two VMs, which doubles the probe budget of its servers. Ruled out: stopping such pools at once: calls on them may still run. Change: PoolChoice.Dispatches filters the probe targets. Conclusion: the budget per server holds while pools move.

--- a/pkg/dispatch/targets.go
+++ b/pkg/dispatch/targets.go
@@ -60,3 +60,17 @@
 	}
 	return VM{}, false
 }
+
+// Dispatches reports whether this VM is the dispatcher of a pool by its own view. A VM that only stands in for another
+// one, or whose pool has moved, does not probe the pool's servers.
+func (p *PoolChoice) Dispatches(key PoolKey) bool {
+	now := p.options.Clock.Now()
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	for i := range p.pools[key.Service] {
+		if at := &p.pools[key.Service][i]; at.key == key {
+			return p.dispatcher(now, at).ID == p.options.Self.ID
+		}
+	}
+	return false
+}
--- a/pkg/server/probing.go
+++ b/pkg/server/probing.go
@@ -14,11 +14,11 @@
 )
 
 // newProbing returns the runner that probes the backend servers of the pools that this VM dispatches.
-func newProbing(c clock.Clock, registry *dispatch.Registry) *measure.Runner {
+func newProbing(c clock.Clock, registry *dispatch.Registry, choice *dispatch.PoolChoice) *measure.Runner {
 	return &measure.Runner{
 		Clock:   c,
 		Prober:  &loadProber{client: &fasthttp.Client{MaxIdemponentCallAttempts: 1, MaxConnsPerHost: 1, MaxIdleConnDuration: probeIdle}},
-		Targets: func() []measure.Target { return probeTargets(registry) },
+		Targets: func() []measure.Target { return probeTargets(registry, choice) },
 		Report:  func(r measure.Report) { reportTo(registry, r) },
 	}
 }
@@ -29,9 +29,12 @@
 // probeOverhead is the size in bytes of the heads of a probe and of its answer, which the client does not tell.
 const probeOverhead = 250
 
-func probeTargets(registry *dispatch.Registry) []measure.Target {
+func probeTargets(registry *dispatch.Registry, choice *dispatch.PoolChoice) []measure.Target {
 	var targets []measure.Target
-	for _, runner := range registry.Runners() {
+	for key, runner := range registry.Runners() {
+		if !choice.Dispatches(key) {
+			continue
+		}
 		for _, s := range runner.Inspect() {
 			server := s.Server()
 			targets = append(targets, measure.Target{ID: server.ID, Address: server.Address, LastAnswer: s.LastAnswer()})
--- a/pkg/server/providers.go
+++ b/pkg/server/providers.go
@@ -177,7 +177,7 @@
 }
 
 func newProber(i do.Injector) (*measure.Runner, error) {
-	return newProbing(do.MustInvoke[clock.Clock](i), do.MustInvoke[*dispatch.Registry](i)), nil
+	return newProbing(do.MustInvoke[clock.Clock](i), do.MustInvoke[*dispatch.Registry](i), do.MustInvoke[*placement](i).choice), nil
 }
 
 func newProxy(i do.Injector) (*proxy.Proxy, error) {
