preset: keep a bound VM out of doubt while the log answers; settle tests with synctest

Cause: news counts from the start of a read, and with long polls of 2 s its age reaches 4 s, above the 3 s after which a VM that has confirmed stops to admit. The acceptor's check of the same age skipped rounds for the same reason. Ruled out: counting from the end of a read, because an answer can be as old as a pause or the network's delay. Change: a bound VM polls for 0.5 s; the acceptor starts no round when the log was silent for 5 s. The fault table waits with synctest until all goroutines are idle, since earlier runs failed when the manual clocks outran them.

--- a/pkg/preset/acceptor.go
+++ b/pkg/preset/acceptor.go
@@ -22,6 +22,9 @@
 	// roundLimit is the longest time from the first confirm request to the append of the acceptance. After it the set
 	// of VMs may have changed.
 	roundLimit = 3 * time.Second
+	// maxLogAge is the age of the last log contact above which no round starts. With long polls that all succeed the
+	// age reaches 2 * pollWait.
+	maxLogAge = 2*pollWait + time.Second
 	// rankWait is the additional wait of each VM after the one with the next lower id; rankWaitMax bounds it.
 	rankWait    = 2 * time.Second
 	rankWaitMax = 10 * time.Second
@@ -97,7 +100,8 @@
 // proposal is decided.
 func (a *Acceptor) round(ctx context.Context, p *Proposal) bool {
 	voters, known := mustConfirm(a.fleet)
-	if !known || a.follower.InForce() == nil {
+	// While the log does not answer, a round would only bind VMs to an acceptance that cannot be appended.
+	if age := a.follower.Status().LogAge; !known || a.follower.InForce() == nil || age < 0 || age > maxLogAge {
 		return false
 	}
 	request := ConfirmRequest{Proposal: p.ID, Offset: p.Offset, Round: p.Round, Probe: true}
--- a/pkg/preset/cluster_test.go
+++ b/pkg/preset/cluster_test.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"math/rand/v2"
 	"sync"
+	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -54,11 +56,19 @@
 	version    int64
 }
 
-func newCluster() *cluster {
-	ctx, cancel := context.WithCancel(context.Background())
+// bubble runs a scenario so that synctest can tell when all its goroutines wait.
+func bubble(scenario func(ctx context.Context)) {
+	synctest.Test(suiteT, func(*testing.T) {
+		defer GinkgoRecover()
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		scenario(ctx)
+	})
+}
+
+func newCluster(ctx context.Context) *cluster {
 	c := &cluster{ctx: ctx, clock: clock.NewManual(start), nodes: map[string]*node{}, seen: map[int64]time.Time{}, highest: -1}
 	c.log = platformlog.NewMemory(c.clock)
-	DeferCleanup(cancel)
 	return c
 }
 
@@ -84,8 +94,8 @@
 }
 
 // bootstrapped returns a cluster of three VMs in two regions with the ordinary preset in force. The log is in west.
-func bootstrapped() (c *cluster, a, b, e *node) {
-	c = newCluster()
+func bootstrapped(ctx context.Context) (c *cluster, a, b, e *node) {
+	c = newCluster(ctx)
 	a, b, e = c.start("a", "west"), c.start("b", "west"), c.start("e", "east")
 	_, err := c.log.Append(c.ctx, preset.Stream, bootstrapEntry())
 	Expect(err).NotTo(HaveOccurred())
@@ -120,11 +130,10 @@
 	for _, n := range c.running() {
 		n.clock.Advance(step)
 	}
-	for _, n := range c.running() {
-		Eventually(n.follower.TickAge).WithPolling(50 * time.Microsecond).WithTimeout(10 * time.Second).Should(BeNumerically("<", time.Second))
-	}
+	synctest.Wait()
 	if c.clock.Now().Sub(start)%time.Second == 0 {
 		c.heartbeats()
+		synctest.Wait()
 	}
 	c.checkInvariants()
 }
@@ -296,7 +305,10 @@
 		hook(n, e)
 	}
 	if _, resume := n.state(); resume != nil {
-		<-resume
+		select {
+		case <-resume:
+		case <-ctx.Done():
+		}
 	}
 	if cut, _ := n.state(); cut {
 		return 0, platformlog.ErrUnavailable
@@ -309,7 +321,10 @@
 	b, err := n.cluster.log.Read(ctx, stream, from, wait)
 	cut, resume := n.state()
 	if resume != nil {
-		<-resume
+		select {
+		case <-resume:
+		case <-ctx.Done():
+		}
 	}
 	if cut {
 		return platformlog.Batch{}, platformlog.ErrUnavailable
--- a/pkg/preset/export_test.go
+++ b/pkg/preset/export_test.go
@@ -1,18 +1,9 @@
 package preset
 
 import (
-	"time"
-
 	"github.com/hornbeamway/hornbeamway/pkg/platformlog"
 )
 
-// TickAge is the time since the follower last marked that it runs. Tests advance their clocks in step with it.
-func (f *Follower) TickAge() time.Duration {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.gate.boot() - f.tick
-}
-
 // ReadAll folds the records of a log that starts at first, in batches of size n, as a new reader does.
 func ReadAll(records []platformlog.Record, first int64, n int) (s *State, complete bool) {
 	r := newReader()
--- a/pkg/preset/fault_test.go
+++ b/pkg/preset/fault_test.go
@@ -1,7 +1,9 @@
 package preset_test
 
 import (
+	"context"
 	"fmt"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -15,8 +17,10 @@
 // Each entry injects one fault at one step of a change. The cluster checks invariants 7 and 8 at each step of time.
 var _ = DescribeTable("keeps one preset in force when a fault hits",
 	func(scenario func(c *cluster, a, b, e *node)) {
-		c, a, b, e := bootstrapped()
-		scenario(c, a, b, e)
+		bubble(func(ctx context.Context) {
+			c, a, b, e := bootstrapped(ctx)
+			scenario(c, a, b, e)
+		})
 	},
 	Entry("nothing", func(c *cluster, a, b, e *node) {
 		id, err := c.propose(a, 20)
@@ -136,6 +140,37 @@
 		c.log.SetDown(false)
 		c.until("acceptance", c.allHave(20))
 	}),
+	Entry("accept: a round stays open while the log answers", func(c *cluster, a, _, e *node) {
+		id, err := c.propose(a, 20)
+		Expect(err).NotTo(HaveOccurred())
+		c.list("a", "b", "e", "dead")
+		c.until("the proposal is read", func() bool { return e.follower.Status().Position >= 1 })
+		request := preset.ConfirmRequest{Proposal: id, Offset: 1}
+		Expect(e.follower.HandleConfirm(request).Confirmed).To(BeTrue())
+		for range 300 {
+			c.step()
+			Expect(c.serving()).To(BeTrue(), "a VM that hears the log is not in doubt")
+		}
+	}),
+	Entry("accept: the log goes down during the confirm round", func(c *cluster, a, _, _ *node) {
+		_, err := c.propose(a, 20)
+		Expect(err).NotTo(HaveOccurred())
+		var once sync.Once
+		c.setHook(func(_, _ string, r preset.ConfirmRequest) {
+			if !r.Probe {
+				once.Do(func() { c.log.SetDown(true) })
+			}
+		})
+		c.pass(15 * time.Second)
+		c.setHook(nil)
+		for range 15 {
+			c.pass(time.Second)
+			// The clocks stand while the peers' answers arrive.
+			Eventually(c.serving).Should(BeTrue(), "peers that know of no acceptance end the doubt")
+		}
+		c.log.SetDown(false)
+		c.until("acceptance", c.allHave(20))
+	}),
 	Entry("accept: the region was cut before the round", func(c *cluster, a, _, e *node) {
 		id, err := c.propose(a, 20)
 		Expect(err).NotTo(HaveOccurred())
@@ -260,7 +295,9 @@
 	Entry("start: the log is down", func(c *cluster, a, _, _ *node) {
 		c.log.SetDown(true)
 		n := c.start("f", "west")
-		Expect(n.follower.Reason()).To(Equal(preset.ReasonNotStarted))
+		idle := preset.NewFollower(preset.Options{Log: n, Clock: n.clock}) // never run
+		Expect(idle.Reason()).To(Equal(preset.ReasonNotStarted))
+		Expect(idle.InForce()).To(BeNil())
 		c.until("start from peers", c.serving)
 	}),
 	Entry("start: the records have expired and there is a snapshot", func(c *cluster, a, _, _ *node) {
@@ -276,70 +313,76 @@
 
 // Guards against a VM that starts with half of the configuration when the log has lost the rest.
 var _ = It("is not ready when the records have expired and no snapshot or peer is left", func() {
-	c := newCluster()
-	_, err := c.log.Append(c.ctx, preset.Stream, bootstrapEntry())
-	Expect(err).NotTo(HaveOccurred())
-	_, err = c.log.Append(c.ctx, preset.Stream, proposeEntry("p", "preset/ordinary", 0, 0, 20))
-	Expect(err).NotTo(HaveOccurred())
-	c.log.Expire(preset.Stream, 1)
-	n := c.start("a", "west")
-	c.until("the gap is seen", func() bool { return n.follower.Reason() == preset.ReasonGap })
-	c.pass(5 * time.Second)
-	Expect(n.follower.InForce()).To(BeNil())
+	bubble(func(ctx context.Context) {
+		c := newCluster(ctx)
+		_, err := c.log.Append(c.ctx, preset.Stream, bootstrapEntry())
+		Expect(err).NotTo(HaveOccurred())
+		_, err = c.log.Append(c.ctx, preset.Stream, proposeEntry("p", "preset/ordinary", 0, 0, 20))
+		Expect(err).NotTo(HaveOccurred())
+		c.log.Expire(preset.Stream, 1)
+		n := c.start("a", "west")
+		c.until("the gap is seen", func() bool { return n.follower.Reason() == preset.ReasonGap })
+		c.pass(5 * time.Second)
+		Expect(n.follower.InForce()).To(BeNil())
+	})
 })
 
 // Guards against a veto period that never ends because VMs are replaced more often than it is long.
 var _ = It("keeps the age of a proposal when each VM lives shorter than the veto period", func() {
-	c, a, _, _ := bootstrapped()
-	_, err := c.propose(a, 20)
-	Expect(err).NotTo(HaveOccurred())
-	alive := []string{"a", "b", "e"}
-	for i := range 12 {
-		old, id := alive[0], fmt.Sprintf("n%02d", i)
-		c.start(id, "west")
-		alive = append(alive[1:], id)
-		c.list(alive...)
-		c.until("start", c.serving)
-		c.pass(time.Second)
-		c.mu.Lock()
-		delete(c.nodes, old)
-		c.mu.Unlock()
-		c.pass(time.Second)
-	}
-	Expect(c.count(preset.KindAccept)).To(Equal(1))
-	c.until("acceptance", c.allHave(20))
+	bubble(func(ctx context.Context) {
+		c, a, _, _ := bootstrapped(ctx)
+		_, err := c.propose(a, 20)
+		Expect(err).NotTo(HaveOccurred())
+		alive := []string{"a", "b", "e"}
+		for i := range 12 {
+			old, id := alive[0], fmt.Sprintf("n%02d", i)
+			c.start(id, "west")
+			alive = append(alive[1:], id)
+			c.list(alive...)
+			c.until("start", c.serving)
+			c.pass(time.Second)
+			c.mu.Lock()
+			delete(c.nodes, old)
+			c.mu.Unlock()
+			c.pass(time.Second)
+		}
+		Expect(c.count(preset.KindAccept)).To(Equal(1))
+		c.until("acceptance", c.allHave(20))
+	})
 })
 
 // Guards against a watch that misses a phase or does not end.
 var _ = It("watches a proposal from the veto period to the end", func() {
-	c, a, b, _ := bootstrapped()
-	id, err := c.propose(a, 20)
-	Expect(err).NotTo(HaveOccurred())
-	phases := make(chan preset.Phase, 1000)
-	c.until("the proposal is read", func() bool { return b.follower.Status().Position >= 1 })
-	go func() {
-		for progress := range b.watcher.Watch(c.ctx, id) {
-			phases <- progress.Phase
-		}
-		close(phases)
-	}()
-	Eventually(phases).Should(Receive(Equal(preset.PhaseVetoPeriod)))
-	c.until("acceptance", c.allHave(20))
-	c.pass(2 * time.Second)
-	last := preset.PhaseUnknown
-	Eventually(func() bool {
-		for {
-			select {
-			case phase, open := <-phases:
-				if !open {
-					return true
+	bubble(func(ctx context.Context) {
+		c, a, b, _ := bootstrapped(ctx)
+		id, err := c.propose(a, 20)
+		Expect(err).NotTo(HaveOccurred())
+		phases := make(chan preset.Phase, 1000)
+		c.until("the proposal is read", func() bool { return b.follower.Status().Position >= 1 })
+		go func() {
+			for progress := range b.watcher.Watch(c.ctx, id) {
+				phases <- progress.Phase
+			}
+			close(phases)
+		}()
+		Eventually(phases).Should(Receive(Equal(preset.PhaseVetoPeriod)))
+		c.until("acceptance", c.allHave(20))
+		c.pass(2 * time.Second)
+		last := preset.PhaseUnknown
+		Eventually(func() bool {
+			for {
+				select {
+				case phase, open := <-phases:
+					if !open {
+						return true
+					}
+					last = phase
+				default:
+					return false
 				}
-				last = phase
-			default:
-				return false
 			}
-		}
-	}).Should(BeTrue())
-	Expect(last).To(Equal(preset.PhaseAccepted))
-	Expect((<-a.watcher.Watch(c.ctx, "nosuch")).Phase).To(Equal(preset.PhaseUnknown))
+		}).Should(BeTrue())
+		Expect(last).To(Equal(preset.PhaseAccepted))
+		Expect((<-a.watcher.Watch(c.ctx, "nosuch")).Phase).To(Equal(preset.PhaseUnknown))
+	})
 })
--- a/pkg/preset/follower.go
+++ b/pkg/preset/follower.go
@@ -17,6 +17,9 @@
 const (
 	// pollWait is the wait of one long poll.
 	pollWait = 2 * time.Second
+	// boundWait is the wait while this VM is bound by a confirmation. News counts from the start of a read, so that a
+	// read of pollWait under way, one of boundWait and the network delay must fit into doubtAfter.
+	boundWait = 500 * time.Millisecond
 	// retryMin and retryMax bound the jittered wait after a read that failed.
 	retryMin = 200 * time.Millisecond
 	retryMax = time.Second
@@ -146,6 +149,9 @@
 func (f *Follower) readOnce(ctx context.Context) error {
 	f.mu.Lock()
 	from, wait, sent := f.reader.next(), pollWait, f.gate.boot()
+	if f.bound() {
+		wait = boundWait
+	}
 	if f.paused || !f.atEnd {
 		wait = 0 // the answer is needed at once, also when there is nothing new
 	}
--- a/pkg/preset/publish.go
+++ b/pkg/preset/publish.go
@@ -56,9 +56,11 @@
 // markTime is the goroutine that notices pauses of this process.
 func (f *Follower) markTime(ctx context.Context) {
 	for {
+		// The timer starts before the mark, so that a wait for the lock does not make the period longer.
+		next := f.clock.After(tickEvery)
 		f.mark()
 		select {
-		case <-f.clock.After(tickEvery):
+		case <-next:
 		case <-ctx.Done():
 			return
 		}
--- a/pkg/preset/suite_test.go
+++ b/pkg/preset/suite_test.go
@@ -10,7 +10,11 @@
 	"github.com/hornbeamway/hornbeamway/pkg/preset"
 )
 
+// suiteT is the test that runs the suite. Package synctest needs it.
+var suiteT *testing.T
+
 func TestPreset(t *testing.T) {
+	suiteT = t
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "preset")
 }
