--- a/pkg/operation/ranges_test.go
+++ b/pkg/operation/ranges_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -27,11 +28,7 @@
 	// Guards against uneven shares, and against windows where no memory was lost.
 	It("are spread evenly from an empty log without a memory window", func() {
 		Expect(c.owned()).To(HaveEach(BeNumerically("~", operation.RangeCount/3, 1)))
-		for r := range operation.RangeCount {
-			for _, v := range c.vms {
-				Expect(v.ranges.Holding(r).CleanFrom).To(BeTemporally("<=", c.clock.Now()))
-			}
-		}
+		expectNoWindow(c)
 	})
 
 	// Guards against a key that runs again, or is answered unknown, after a planned move.
@@ -58,11 +55,7 @@
 			Expect(v).To(Equal(operation.Replay))
 			Expect(*e.Answer()).To(Equal(done))
 		}
-		for r := range operation.RangeCount {
-			for _, v := range c.vms {
-				Expect(v.ranges.Holding(r).CleanFrom).To(BeTemporally("<=", c.clock.Now()))
-			}
-		}
+		expectNoWindow(c)
 	})
 
 	// Guards against a new owner that runs keys which the dead owner may have run, whatever step of a handover it died at.
@@ -88,6 +81,33 @@
 		}),
 	)
 
+	// Guards against a key that starts after the export of its range, or still runs then, and runs again on the successor.
+	It("start nothing between export and release, and hand running keys over as unknown", func() {
+		old := c.owner("k")
+		e, v := begin(old, "k")
+		Expect(v).To(Equal(operation.Run))
+		drainStart(old)
+		late := ""
+		for i := 0; late == ""; i++ {
+			if key := fmt.Sprint(i); operation.RangeOf(key) == operation.RangeOf("k") {
+				late = key
+			}
+		}
+		for range 3 {
+			c.clock.Advance(time.Second)
+			c.step(old.self.VM)
+			_, v = begin(old, late)
+			Expect(v).To(Equal(operation.Unavailable))
+			c.send(old.self.VM)
+		}
+		c.run(3 * time.Second)
+		Expect(old.NotRun(e)).To(Equal(problem.Unknown), "the successor decides about the key now")
+		_, v = begin(c.owner("k"), "k")
+		Expect(v).To(Equal(operation.Unknown))
+		_, v = begin(c.owner(late), late)
+		Expect(v).To(Equal(operation.Run))
+	})
+
 	// Guards against the memory of an older handover, delivered late, that passes for that of the release.
 	It("are not claimed cleanly with the chunks of an earlier handover", func() {
 		old := c.owner("k")
@@ -198,6 +218,30 @@
 	})
 })
 
+// Guards against data races between Run, Drain and the data path.
+var _ = It("RangeManager.Run works beside the data path", func() {
+	c := newCluster("e1")
+	ctx, cancel := context.WithCancel(context.Background())
+	v, ended := c.vms["e1"], make(chan struct{})
+	go func() { defer close(ended); v.ranges.Run(ctx) }()
+	Eventually(func() operation.Verdict {
+		c.clock.Advance(time.Second)
+		_, verdict := v.Begin(c.clock.Now(), "k", 1, time.Time{})
+		return verdict
+	}).Should(Equal(operation.Run))
+	cancel()
+	Expect(v.Drain(ctx)).To(MatchError(operation.ErrNoSuccessor))
+	Eventually(ended).Should(BeClosed())
+})
+
+func expectNoWindow(c *cluster) {
+	for r := range operation.RangeCount {
+		for _, v := range c.vms {
+			Expect(v.ranges.Holding(r).CleanFrom).To(BeTemporally("<=", c.clock.Now()))
+		}
+	}
+}
+
 func drainStart(v *vm) {
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
