Divide a backend server's connections by data centre

Cause: an even split over all entry VMs gives each dispatcher fewer connections than a server has slots once the preset names more than 40 VMs (240 / (2 x 41) = 2). Ruled out: caps by the VMs believed to be alive: two VMs with different beliefs could exceed the limit together. Change: 80% for the VMs of the server's data centre, 20% for the others; a cap of 0 now means none.

--- a/pkg/server/pools.go
+++ b/pkg/server/pools.go
@@ -66,7 +66,7 @@
 	})
 	u.registry.Update(servers, priority.Shares(content.Shares.ByClass()))
 	u.placement.update(servers, u.members.Members())
-	u.caps.update(servers, content)
+	u.caps.update(u.members.Self().DataCentre, servers, content)
 	configureLink(u.pacer, content)
 	setObjectives(u.burn, content)
 }
--- a/pkg/upstream/host.go
+++ b/pkg/upstream/host.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"math"
 	"net"
 	"sync"
 	"syscall"
@@ -135,18 +136,18 @@
 // reserve counts a new connection against the cap and the rate of the address. When the cap is reached an idle
 // connection that does not suit the request makes room.
 func (h *host) reserve() error {
-	limit := 0
+	limit := math.MaxInt
 	if h.opts.MaxConns != nil {
 		limit = h.opts.MaxConns(h.address)
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if limit > 0 && h.count >= limit && len(h.idle) > 0 {
+	if h.count >= limit && len(h.idle) > 0 {
 		oldest := h.idle[0]
 		h.idle = h.idle[1:]
 		h.closeLocked(oldest)
 	}
-	if limit > 0 && h.count >= limit {
+	if h.count >= limit {
 		return ErrConnectionLimit
 	}
 	if !h.limiter.AllowN(h.opts.Clock.Now(), 1) {
--- a/pkg/upstream/transport.go
+++ b/pkg/upstream/transport.go
@@ -42,7 +42,7 @@
 	UserTimeout time.Duration
 	// BodyIdleTimeout is the longest pause between two parts of an answer. Default 30s.
 	BodyIdleTimeout time.Duration
-	// MaxConns returns the connection cap of an address. Nil or a value of 0: no cap.
+	// MaxConns returns the connection cap of an address; 0 allows none. Nil: no cap.
 	MaxConns func(address string) int
 	// NewConnRate is the number of new connections per second to one address. Default: no limit.
 	NewConnRate float64
