preset: fix and print the seeds of the tests

Cause: the property test drew a new seed at each run, so a failure could not be repeated from the log of the run. Change: a fixed seed unless -rapid.seed is given; both seeds are printed.

--- a/pkg/preset/suite_test.go
+++ b/pkg/preset/suite_test.go
@@ -1,6 +1,7 @@
 package preset_test
 
 import (
+	"flag"
 	"os"
 	"testing"
 
@@ -10,11 +11,18 @@
 	"github.com/hornbeamway/hornbeamway/pkg/preset"
 )
 
+// rapidSeed is the seed of the property tests unless the flag -rapid.seed gives another.
+const rapidSeed = "20240229"
+
 // suiteT is the test that runs the suite. Package synctest needs it.
 var suiteT *testing.T
 
 func TestPreset(t *testing.T) {
 	suiteT = t
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
+		_ = f.Value.Set(rapidSeed)
+	}
+	t.Logf("rapid seed %s, cluster seed %d", flag.Lookup("rapid.seed").Value, clusterSeed)
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "preset")
 }
