Refuse configuration keys in another case

Cause: encoding/json matches keys without regard to case, so entryVms was taken for entryVMs, and both spellings passed the check for duplicates. Ruled out: comparing keys with the struct tags by reflection, which is the decoder's work. Change: package strictjson decodes with the go-json-experiment/json library, which is exact about case, refuses duplicates and names the place by a JSON pointer; own code for duplicates and unknown keys is gone.

--- a/pkg/strictjson/decode.go
+++ b/pkg/strictjson/decode.go
@@ -1,16 +1,15 @@
-// Package strictjson decodes JSON with comments and refuses unknown keys, duplicate keys and values without a unit,
-// naming the line and column of the fault.
+// Package strictjson decodes JSON with comments and refuses unknown keys, keys in another case, duplicate keys and values
+// without a unit, naming the line and column of the fault.
 package strictjson
 
 import (
 	"bytes"
-	"encoding/json"
 	"fmt"
-	"io"
 	"strings"
 
 	"github.com/cockroachdb/errors"
-	"github.com/hornbeamway/hornbeamway/pkg/unit"
+	"github.com/go-json-experiment/json"
+	"github.com/go-json-experiment/json/jsontext"
 	"github.com/tailscale/hujson"
 )
 
@@ -34,19 +33,12 @@
 	if err != nil {
 		return &Error{Reason: strings.TrimPrefix(err.Error(), "hujson: ")}
 	}
-	if err := checkDuplicateKeys(data, &root); err != nil {
-		return err
-	}
 	standard := root.Clone()
 	standard.Standardize()
-	dec := json.NewDecoder(bytes.NewReader(standard.Pack()))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(v); err != nil {
+	// Standardize replaces comments by spaces, so offsets in both texts are the same.
+	if err := json.Unmarshal(standard.Pack(), v, json.RejectUnknownMembers(true)); err != nil {
 		return locate(data, &root, err)
 	}
-	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
-		return &Error{Reason: "text after the end of the document"}
-	}
 	return nil
 }
 
@@ -56,120 +48,96 @@
 	if err != nil {
 		return &Error{Reason: reason}
 	}
-	return errorAt(data, findKey(&root, name), reason)
-}
-
-func checkDuplicateKeys(data []byte, root *hujson.Value) error {
-	var found error
-	walk(root, func(v *hujson.Value) bool {
-		object, ok := v.Value.(*hujson.Object)
-		if !ok {
-			return true
-		}
-		seen := make(map[string]bool, len(object.Members))
-		for i := range object.Members {
-			name := &object.Members[i].Name
-			key := literalText(name)
-			if seen[key] {
-				found = errorAt(data, name, fmt.Sprintf("duplicate key %q", key))
-				return false
-			}
-			seen[key] = true
-		}
-		return true
-	})
-	return found
+	if key := findKey(&root, name); key != nil {
+		return errorAt(data, key.StartOffset, reason)
+	}
+	return &Error{Reason: reason}
 }
 
-// locate turns an error of encoding/json into an *Error with a position.
+// locate turns an error of the decoder into an *Error with a position.
 func locate(data []byte, root *hujson.Value, err error) error {
-	var typeError *json.UnmarshalTypeError
-	if errors.As(err, &typeError) {
-		line, column := position(data, int(typeError.Offset)-1)
-		return &Error{Line: line, Column: column, Reason: fmt.Sprintf("%s: want %s, got %s", typeError.Field, typeError.Type, typeError.Value)}
+	var nested *Error
+	if errors.As(err, &nested) {
+		return nested
 	}
-	var parseError *unit.ParseError
-	if errors.As(err, &parseError) {
-		return errorAt(data, findLiteral(root, parseError.Text), err.Error())
+	var semantic *json.SemanticError
+	var syntactic *jsontext.SyntacticError
+	switch {
+	case errors.As(err, &semantic):
+		offset := int(semantic.ByteOffset)
+		if member := findMember(root, semantic.JSONPointer); member != nil {
+			offset = member.StartOffset
+		}
+		return errorAt(data, offset, semanticReason(semantic))
+	case errors.As(err, &syntactic):
+		return errorAt(data, int(syntactic.ByteOffset), syntacticReason(syntactic))
 	}
-	if name, ok := strings.CutPrefix(err.Error(), "json: unknown field "); ok {
-		key := strings.Trim(name, `"`)
-		return errorAt(data, findKey(root, key), fmt.Sprintf("unknown key %q", key))
+	return &Error{Reason: err.Error()}
+}
+
+func semanticReason(e *json.SemanticError) string {
+	key := e.JSONPointer.LastToken()
+	switch {
+	case errors.Is(e.Err, json.ErrUnknownName):
+		return fmt.Sprintf("unknown key %q", key)
+	case e.Err != nil:
+		return fmt.Sprintf("%s: %v", key, e.Err)
 	}
-	return &Error{Reason: strings.TrimPrefix(err.Error(), "json: ")}
+	return fmt.Sprintf("%s: want %s, got %s", key, e.GoType, e.JSONKind)
 }
 
-func errorAt(data []byte, v *hujson.Value, reason string) error {
-	if v == nil {
-		return &Error{Reason: reason}
+func syntacticReason(e *jsontext.SyntacticError) string {
+	if errors.Is(e.Err, jsontext.ErrDuplicateName) {
+		return fmt.Sprintf("duplicate key %q", e.JSONPointer.LastToken())
 	}
-	line, column := position(data, v.StartOffset)
-	return &Error{Line: line, Column: column, Reason: reason}
+	return e.Err.Error()
 }
 
-func position(data []byte, offset int) (line, column int) {
+func errorAt(data []byte, offset int, reason string) error {
 	offset = min(max(offset, 0), len(data))
 	before := data[:offset]
-	return bytes.Count(before, []byte("\n")) + 1, offset - (bytes.LastIndexByte(before, '\n') + 1) + 1
+	return &Error{
+		Line:   bytes.Count(before, []byte("\n")) + 1,
+		Column: offset - (bytes.LastIndexByte(before, '\n') + 1) + 1,
+		Reason: reason,
+	}
 }
 
-func findKey(root *hujson.Value, key string) *hujson.Value {
-	var found *hujson.Value
-	walk(root, func(v *hujson.Value) bool {
-		if object, ok := v.Value.(*hujson.Object); ok {
-			for i := range object.Members {
-				if literalText(&object.Members[i].Name) == key {
-					found = &object.Members[i].Name
-					return false
-				}
+// findMember returns the key that a pointer ends with, or the element itself in an array.
+func findMember(root *hujson.Value, pointer jsontext.Pointer) *hujson.Value {
+	parent := root.Find(string(pointer.Parent()))
+	if parent == nil {
+		return nil
+	}
+	if object, ok := parent.Value.(*hujson.Object); ok {
+		for i := range object.Members {
+			if keyText(&object.Members[i].Name) == pointer.LastToken() {
+				return &object.Members[i].Name
 			}
 		}
-		return true
-	})
-	return found
-}
-
-func findLiteral(root *hujson.Value, text string) *hujson.Value {
-	var found *hujson.Value
-	walk(root, func(v *hujson.Value) bool {
-		if _, ok := v.Value.(hujson.Literal); ok && literalText(v) == text {
-			found = v
-			return false
-		}
-		return true
-	})
-	return found
-}
-
-func literalText(v *hujson.Value) string {
-	literal, ok := v.Value.(hujson.Literal)
-	if !ok {
-		return ""
 	}
-	if literal.Kind() == '"' {
-		return literal.String()
-	}
-	return string(literal)
+	return root.Find(string(pointer))
 }
 
-// walk visits v and every value below it until visit returns false. It reports whether the walk was completed.
-func walk(v *hujson.Value, visit func(*hujson.Value) bool) bool {
-	if !visit(v) {
-		return false
-	}
-	switch composite := v.Value.(type) {
-	case *hujson.Object:
-		for i := range composite.Members {
-			if !walk(&composite.Members[i].Value, visit) {
-				return false
-			}
+// findKey returns the first key with the given name anywhere in the document.
+func findKey(root *hujson.Value, name string) *hujson.Value {
+	for v := range root.All() {
+		object, ok := v.Value.(*hujson.Object)
+		if !ok {
+			continue
 		}
-	case *hujson.Array:
-		for i := range composite.Elements {
-			if !walk(&composite.Elements[i], visit) {
-				return false
+		for i := range object.Members {
+			if keyText(&object.Members[i].Name) == name {
+				return &object.Members[i].Name
 			}
 		}
 	}
-	return true
+	return nil
+}
+
+func keyText(name *hujson.Value) string {
+	if literal, ok := name.Value.(hujson.Literal); ok {
+		return literal.String()
+	}
+	return ""
 }
