--- a/internal/lab/cluster/process.go
+++ b/internal/lab/cluster/process.go
@@ -1,6 +1,7 @@
 package cluster
 
 import (
+	"bytes"
 	"context"
 	"os"
 	"os/exec"
@@ -9,6 +10,7 @@
 	"strings"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -131,6 +133,25 @@
 	return errors.Mark(os.WriteFile("/proc/"+strconv.Itoa(p.PID())+"/clear_refs", []byte("5"), 0), ErrProcess)
 }
 
+// clockTick is the unit of processor times in /proc, USER_HZ, which is 100 on all Linux platforms of Go.
+const clockTick = 10 * time.Millisecond
+
+// CPU returns the processor time that the process has used.
+func (p *Process) CPU() (time.Duration, error) {
+	stat, err := os.ReadFile("/proc/" + strconv.Itoa(p.PID()) + "/stat")
+	if err != nil {
+		return 0, errors.Mark(err, ErrProcess)
+	}
+	// The name of the program in parentheses may contain spaces. User and system time are fields 14 and 15 (proc(5)).
+	fields := strings.Fields(string(stat[bytes.LastIndexByte(stat, ')')+1:]))
+	if len(fields) < 13 {
+		return 0, errors.Wrapf(ErrProcess, "stat of %s", p.Name)
+	}
+	user, _ := strconv.ParseInt(fields[11], 10, 64)
+	system, _ := strconv.ParseInt(fields[12], 10, 64)
+	return time.Duration(user+system) * clockTick, nil
+}
+
 // kilobytes returns a value of a /proc file that is given in kB, in bytes; 0 when it is missing.
 func kilobytes(file []byte, key string) int64 {
 	for line := range strings.Lines(string(file)) {
