--- a/pkg/proxy/header.go
+++ b/pkg/proxy/header.go
@@ -19,13 +19,13 @@
 
 // Header names between entry VMs. They are removed from callers' requests and from answers to callers.
 const (
-	headerPrefix       = "Hornbeamway-"
-	headerHop          = "Hornbeamway-Hop"
-	headerPeerKey      = "Hornbeamway-Peer-Key"
-	headerAttempt      = "Hornbeamway-Attempt"
-	headerPool         = "Hornbeamway-Pool"
-	headerRefused      = "Hornbeamway-Refused"
-	headerLoad         = "Hornbeamway-Load"
+	headerPrefix  = "Hornbeamway-"
+	headerHop     = "Hornbeamway-Hop"
+	headerPeerKey = "Hornbeamway-Peer-Key"
+	headerAttempt = "Hornbeamway-Attempt"
+	headerPool    = "Hornbeamway-Pool"
+	headerRefused = "Hornbeamway-Refused"
+	headerLoad    = "Hornbeamway-Load"
 )
 
 // Headers in the answers of backend servers.
