--- a/pkg/proxy/call.go
+++ b/pkg/proxy/call.go
@@ -2,11 +2,11 @@
 
 import (
 	"bytes"
-	"io"
 	"strconv"
+	"sync"
+	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 	"github.com/valyala/fasthttp"
 
@@ -14,47 +14,73 @@
 	"github.com/hornbeamway/hornbeamway/pkg/problem"
 )
 
-// Sizes in bytes.
-const (
-	// bufferedBody is the largest request body that is kept in memory, so that it can be sent again.
-	bufferedBody = 64 << 10
-	// maxRequestID is the longest request id taken over from a caller.
-	maxRequestID = 64
-)
+// maxRequestID is the longest request id in bytes that is taken over from a caller.
+const maxRequestID = 64
 
 // call is one request on its way through this VM.
 type call struct {
 	ctx   *fasthttp.RequestCtx
 	route *preset.Route
 	id    string
-	// path is the request target as received, without the query.
+	// path is the path of the request target as received, without the query.
 	path     []byte
 	arrived  time.Time
 	deadline time.Time // zero: none
 	// attempt counts the attempts that VMs before this one have made.
 	attempt int
-	// replayable says that the whole body is in memory.
-	replayable bool
+	// body is the whole body if stream is nil. Otherwise the body is only on the caller's connection.
+	body   []byte
+	stream *bodyStream
+	// crossing says that the request body goes to a pool in the other region.
+	crossing bool
+	// answerPace is called with the bytes of the answer before they are sent; nil: not paced.
+	answerPace func(bytes int) error
+	// mayHaveRun is set once an attempt may have been run, so that no later refusal is told as not run.
+	mayHaveRun atomic.Bool
 	// beforeWrite is checked right before the request leaves this VM; nil: nothing to check.
 	beforeWrite func() error
+	// copying guards the head: reading a fasthttp head uses its scratch space, and a hedge copies it at any moment.
+	copying sync.Mutex
 }
 
-// newCall finds the route of a request and checks its head and body size. The error is a *problem.Problem.
+// newCall finds the route of a request, checks its body size and prepares its head to be passed on. The error is a
+// *problem.Problem.
 func (p *Proxy) newCall(ctx *fasthttp.RequestCtx, content *preset.Content) (*call, error) {
-	c := &call{ctx: ctx, arrived: p.Clock.Now(), path: requestPath(&ctx.Request.Header)}
-	c.id = requestID(&ctx.Request.Header)
+	h := &ctx.Request.Header
+	c := &call{ctx: ctx, arrived: p.Clock.Now(), path: requestPath(h), id: requestID(h)}
 	route, ok := content.Route(string(ctx.Method()), string(c.path))
 	if !ok {
 		return c, problem.New(fasthttp.StatusNotFound, problem.NotRun, problem.ReasonNoRoute, "no route matches the method and path")
 	}
 	c.route = route
 	if err := c.readDeadline(); err != nil {
-		return c, err
+		return c, c.refuseEarly(err)
+	}
+	if err := c.readBody(); err != nil {
+		return c, c.refuseEarly(err)
+	}
+	c.prepareHead()
+	return c, nil
+}
+
+// earlierUnknown adapts a refusal that was made before the operation memory was asked: an earlier attempt with the same
+// key may have run.
+func earlierUnknown(h *fasthttp.RequestHeader, refusal *problem.Problem) *problem.Problem {
+	if len(h.Peek(HeaderIdempotencyKey)) > 0 {
+		refusal.Outcome = problem.Unknown
+	}
+	return refusal
+}
+
+// refuseEarly is earlierUnknown for operations. Keys have no meaning on other routes.
+func (c *call) refuseEarly(refusal *problem.Problem) *problem.Problem {
+	if c.route.Idempotent {
+		return refusal
 	}
-	return c, c.readBody()
+	return earlierUnknown(&c.ctx.Request.Header, refusal)
 }
 
-func (c *call) readDeadline() error {
+func (c *call) readDeadline() *problem.Problem {
 	deadline, ok := parseDeadline(&c.ctx.Request.Header, c.arrived)
 	if !ok {
 		return problem.New(fasthttp.StatusBadRequest, problem.NotRun, problem.ReasonBadRequest,
@@ -64,96 +90,82 @@
 		deadline = c.arrived.Add(c.route.Timeout.Std())
 	}
 	c.deadline = deadline
-	attempt := c.ctx.Request.Header.Peek(headerAttempt)
-	c.attempt, _ = strconv.Atoi(string(attempt))
 	return nil
 }
 
-// readBody takes small bodies into memory, so that they can be sent again and compared. Larger ones stay a stream, which
-// only idempotent routes allow.
-func (c *call) readBody() error {
-	limit := int(c.route.MaxBody)
-	length := c.ctx.Request.Header.ContentLength()
-	if length > limit {
-		return bodyTooLarge()
-	}
-	if !c.ctx.Request.IsBodyStream() {
-		c.replayable = true
-		return nil
+// prepareHead removes what ends at this VM and sets what every attempt carries.
+func (c *call) prepareHead() {
+	h := &c.ctx.Request.Header
+	removeFromRequest(h)
+	attempt, err := strconv.Atoi(string(h.Peek(headerAttempt)))
+	if err != nil || attempt <= 0 {
+		h.Del(headerAttempt)
+		attempt = 0
 	}
-	keep := min(limit, bufferedBody)
-	if !c.route.Idempotent {
-		keep = limit
+	c.attempt = attempt
+	if target := h.RequestURI(); len(target) > 0 && target[0] != '/' {
+		c.useOriginForm(target)
 	}
-	prefix, err := io.ReadAll(io.LimitReader(c.ctx.RequestBodyStream(), int64(keep)+1))
-	switch {
-	case err != nil:
-		return problem.New(fasthttp.StatusBadRequest, problem.NotRun, problem.ReasonBadRequest, "request body is incomplete")
-	case len(prefix) <= keep:
-		c.setBody(prefix)
-		return nil
-	case len(prefix) > limit:
-		return bodyTooLarge()
+	if len(h.Host()) == 0 {
+		// HTTP/1.0 has no Host.
+		h.SetHost(c.route.Service)
 	}
-	rest := io.MultiReader(bytes.NewReader(prefix), c.ctx.RequestBodyStream())
-	c.ctx.Request.SetBodyStream(&limitedBody{Reader: rest, left: limit}, length)
-	return nil
+	h.SetProtocol("HTTP/1.1")
+	h.Set(HeaderRequestID, c.id)
 }
 
-// setBody replaces a stream that was read to its end. Trailers stay with the request, which is then sent chunked.
-func (c *call) setBody(body []byte) {
-	c.replayable = true
-	if c.ctx.Request.Header.ContentLength() >= 0 {
-		c.ctx.Request.SetBodyRaw(body)
-		return
-	}
-	hasTrailers := len(c.ctx.Request.Header.PeekTrailerKeys()) > 0
-	if !hasTrailers {
-		c.ctx.Request.SetBodyRaw(body)
-		return
-	}
-	c.replayable = false
-	c.ctx.Request.SetBodyStream(bytes.NewReader(body), -1)
+// useOriginForm turns an absolute-form target into path and query and takes the host from it (RFC 9112, section 3.2.2).
+func (c *call) useOriginForm(target []byte) {
+	authority, rest := splitAbsolute(target)
+	host, origin := string(authority), string(rest)
+	c.ctx.Request.Header.SetHost(host)
+	c.ctx.Request.Header.SetRequestURI(origin)
+	c.path = requestPath(&c.ctx.Request.Header)
 }
 
-func bodyTooLarge() *problem.Problem {
-	return problem.New(fasthttp.StatusRequestEntityTooLarge, problem.NotRun, problem.ReasonBodyTooLarge,
-		"request body is larger than the route allows")
+// settle returns the problem to tell for err: once an attempt may have been run, no refusal says that the call was not run.
+func (c *call) settle(err error) error {
+	if err == nil || !c.mayHaveRun.Load() {
+		return err
+	}
+	answer := asProblem(err)
+	answer.Outcome, answer.Attempt = problem.Unknown, problem.Unknown
+	return answer
 }
 
-// errBodyTooLarge ends the copy of a body of unknown length at the route's limit.
-var errBodyTooLarge = errors.New("request body is larger than the route allows")
-
-// limitedBody fails after left bytes instead of ending, so that a cut body is never sent as a complete one.
-type limitedBody struct {
-	io.Reader
-	left int
-}
+// replayable says that the whole body is in memory, so that it can be sent more than once.
+func (c *call) replayable() bool { return c.stream == nil }
 
-// Read implements io.Reader.
-func (l *limitedBody) Read(b []byte) (int, error) {
-	n, err := l.Reader.Read(b)
-	if l.left -= n; l.left < 0 {
-		return n, errBodyTooLarge
-	}
-	return n, err
-}
+// resendable says that the body can be sent although an attempt was made.
+func (c *call) resendable() bool { return c.stream == nil || !c.stream.touched }
 
-// requestPath returns the path of the request target without the query. The target itself passes on unchanged.
+// requestPath returns the path of the request target without the query.
 func requestPath(h *fasthttp.RequestHeader) []byte {
 	target := h.RequestURI()
-	if scheme := bytes.Index(target, []byte("://")); scheme > 0 && target[0] != '/' {
-		target = target[scheme+3:]
-		if slash := bytes.IndexByte(target, '/'); slash >= 0 {
-			target = target[slash:]
-		} else {
-			target = []byte("/")
-		}
+	if len(target) > 0 && target[0] != '/' {
+		_, target = splitAbsolute(target)
 	}
 	path, _, _ := bytes.Cut(target, []byte("?"))
 	return path
 }
 
+// splitAbsolute splits an absolute-form target into its authority and its path with the query. A target of another form
+// has no authority.
+func splitAbsolute(target []byte) (authority, rest []byte) {
+	_, after, ok := bytes.Cut(target, []byte("://"))
+	if !ok {
+		return nil, target
+	}
+	end := bytes.IndexAny(after, "/?")
+	switch {
+	case end < 0:
+		return after, []byte("/")
+	case after[end] == '?':
+		return after[:end], append([]byte("/"), after[end:]...)
+	}
+	return after[:end], after[end:]
+}
+
 // requestID takes over a caller's request id if it is short visible ASCII, and makes one otherwise.
 func requestID(h *fasthttp.RequestHeader) string {
 	id := h.Peek(HeaderRequestID)
--- a/pkg/proxy/cancel.go
+++ b/pkg/proxy/cancel.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"syscall"
 	"time"
 
@@ -25,90 +26,70 @@
 
 // disconnectWatcher cancels the calls of callers that have closed their connections.
 type disconnectWatcher struct {
-	add    chan *watch
-	remove chan *watch
-	done   chan struct{}
+	mu      sync.Mutex
+	watched map[*watch]struct{}
 }
 
-// watchQueue is the capacity of the channels to the watcher. A call that finds them full is not watched.
-const watchQueue = 1024
-
 func newDisconnectWatcher() *disconnectWatcher {
-	return &disconnectWatcher{
-		add:    make(chan *watch, watchQueue),
-		remove: make(chan *watch, watchQueue),
-		done:   make(chan struct{}),
-	}
+	return &disconnectWatcher{watched: map[*watch]struct{}{}}
 }
 
 // watch returns a context that is cancelled when the caller closes c, and a function that ends the watch.
 func (d *disconnectWatcher) watch(parent context.Context, c net.Conn) (context.Context, func()) {
 	ctx, cancel := context.WithCancelCause(parent)
 	w := &watch{conn: c, cancel: cancel}
-	select {
-	case d.add <- w:
-	default:
-		return ctx, func() { cancel(nil) }
-	}
+	d.mu.Lock()
+	d.watched[w] = struct{}{}
+	d.mu.Unlock()
 	return ctx, func() {
+		d.mu.Lock()
+		delete(d.watched, w)
+		d.mu.Unlock()
 		cancel(nil)
-		select {
-		case d.remove <- w:
-		case <-d.done:
-		}
 	}
 }
 
 // run checks all watched connections until ctx ends.
 func (d *disconnectWatcher) run(ctx context.Context) {
-	defer close(d.done)
 	ticker := time.NewTicker(disconnectPollInterval)
 	defer ticker.Stop()
-	watched := map[*watch]bool{}
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case w := <-d.add:
-			watched[w] = true
-		case w := <-d.remove:
-			// The channels are not ordered against each other, so the addition may still be queued.
-			if !watched[w] {
-				d.drainAdditions(watched)
-			}
-			delete(watched, w)
 		case <-ticker.C:
-			for w := range watched {
-				if peerClosed(w.conn) {
-					w.cancel(errCallerGone)
-				}
-			}
+			d.check()
 		}
 	}
 }
 
-func (d *disconnectWatcher) drainAdditions(watched map[*watch]bool) {
-	for {
-		select {
-		case w := <-d.add:
-			watched[w] = true
-		default:
-			return
+// check looks at the connections outside the lock. A watch that ends meanwhile has its own context, so that a late
+// cancellation reaches no other call.
+func (d *disconnectWatcher) check() {
+	d.mu.Lock()
+	watched := make([]*watch, 0, len(d.watched))
+	for w := range d.watched {
+		watched = append(watched, w)
+	}
+	d.mu.Unlock()
+	for _, w := range watched {
+		if closed, _ := peek(w.conn); closed {
+			w.cancel(errCallerGone)
 		}
 	}
 }
 
-// peerClosed reports whether the other side has ended or reset the connection. It does not consume data.
-func peerClosed(c net.Conn) bool {
+// peek reports whether the other side has ended or reset the connection, or has sent bytes that were not read yet. It does
+// not consume data.
+func peek(c net.Conn) (closed, pending bool) {
 	sc, ok := c.(syscall.Conn)
 	if !ok {
-		return false
+		return false, false
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return true
+		return true, false
 	}
-	closed := false
 	err = raw.Control(func(fd uintptr) {
 		var b [1]byte
 		n, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
@@ -117,8 +98,8 @@
 		case err != nil:
 			closed = true
 		default:
-			closed = n == 0
+			closed, pending = n == 0, n > 0
 		}
 	})
-	return closed || err != nil
+	return closed || err != nil, pending
 }
--- /dev/null
+++ b/pkg/proxy/conn.go
@@ -0,0 +1,152 @@
+package proxy
+
+import (
+	"io"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Bounds of a connection that is closed while the other side still sends. Closing it at once would reset it, and the
+// answer on its way could be lost.
+const (
+	lingerTime  = 500 * time.Millisecond
+	lingerBytes = 1 << 20
+)
+
+// serverConn is a connection of a caller or another entry VM. It follows where the requests on it begin, bounds the
+// pauses within a body, and can be stopped while it waits for a request. All but stop runs on the connection's goroutine.
+type serverConn struct {
+	net.Conn
+	listener *limitedListener
+	host     string
+	once     sync.Once
+
+	head headScanner
+	// behind counts the bytes read behind the head of the current request.
+	behind int64
+	// linger says that the other side may still be sending when the connection is closed.
+	linger bool
+
+	mu      sync.Mutex
+	waiting bool // for the first byte of a request
+	stopped bool
+}
+
+// Read implements net.Conn. The library's deadline bounds the head as a whole; within a body only the pauses are bounded,
+// so that a long upload goes on as long as it makes progress.
+func (c *serverConn) Read(p []byte) (int, error) {
+	switch {
+	case c.head.done:
+		if err := c.SetReadDeadline(time.Now().Add(c.listener.bodyIdle)); err != nil {
+			return 0, err
+		}
+	case !c.head.started && !c.wait():
+		return 0, io.EOF
+	}
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.received(p[:n])
+	}
+	return n, err
+}
+
+// wait notes that the connection waits for a request. It reports false once the connection was stopped.
+func (c *serverConn) wait() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.waiting = true
+	return !c.stopped
+}
+
+func (c *serverConn) received(p []byte) {
+	if !c.head.started {
+		c.mu.Lock()
+		c.waiting = false
+		c.mu.Unlock()
+	}
+	c.behind += int64(len(p) - c.head.scan(p))
+}
+
+// stop ends the connection if it waits for a request.
+func (c *serverConn) stop() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stopped = true
+	if c.waiting {
+		_ = c.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+// endRequest begins a new request.
+func (c *serverConn) endRequest() {
+	c.head = headScanner{}
+	c.behind = 0
+}
+
+// Write implements net.Conn. A caller that takes nothing for too long loses the connection, because the answer holds a
+// slot of a backend server.
+func (c *serverConn) Write(p []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(c.listener.bodyIdle)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(p)
+}
+
+// Close implements net.Conn.
+func (c *serverConn) Close() error {
+	c.once.Do(func() {
+		c.listener.release(c)
+		if c.linger {
+			c.drain()
+		}
+	})
+	return c.Conn.Close()
+}
+
+// drain ends the sending side and drops what the other side sends.
+func (c *serverConn) drain() {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok || tcp.CloseWrite() != nil || tcp.SetReadDeadline(time.Now().Add(lingerTime)) != nil {
+		return
+	}
+	_, _ = io.CopyN(io.Discard, tcp, lingerBytes)
+}
+
+// SyscallConn implements syscall.Conn.
+func (c *serverConn) SyscallConn() (syscall.RawConn, error) {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, syscall.ENOTSUP
+	}
+	return sc.SyscallConn()
+}
+
+// headScanner finds the empty line that ends a request head.
+type headScanner struct {
+	started, done bool
+	lineLength    int
+}
+
+// scan takes the next bytes and returns how many of them belong to the head.
+func (s *headScanner) scan(p []byte) int {
+	if s.done {
+		return 0
+	}
+	for i, b := range p {
+		switch b {
+		case '\r':
+		case '\n':
+			if s.lineLength == 0 && s.started {
+				s.done = true
+				return i + 1
+			}
+			s.lineLength = 0
+		default:
+			s.started = true
+			s.lineLength++
+		}
+	}
+	return len(p)
+}
--- a/pkg/proxy/entry.go
+++ b/pkg/proxy/entry.go
@@ -8,7 +8,6 @@
 	"github.com/valyala/fasthttp"
 	"k8s.io/klog/v2"
 
-	"github.com/hornbeamway/hornbeamway/pkg/preset"
 	"github.com/hornbeamway/hornbeamway/pkg/problem"
 )
 
@@ -17,31 +16,71 @@
 
 // serveCaller is the handler of the callers' address.
 func (p *Proxy) serveCaller(ctx *fasthttp.RequestCtx) {
-	p.inFlight.Add(1)
-	defer p.inFlight.Add(-1)
-	if p.draining.Load() {
-		// The connection ends with this answer, so that the caller opens the next one to another VM.
-		defer ctx.SetConnectionClose()
-	}
-	if err := checkHead(ctx); err != nil {
+	p.beginRequest()
+	// The library's own decision may be made on the head after it was cleaned.
+	last := ctx.Request.Header.ConnectionClose()
+	c := p.answerCaller(ctx)
+	p.endRequest(ctx, c, last || p.draining.Load())
+}
+
+// answerCaller leaves the answer in the response. It returns the call if there was one.
+func (p *Proxy) answerCaller(ctx *fasthttp.RequestCtx) *call {
+	if err := checkHead(&ctx.Request.Header); err != nil {
 		p.fail(ctx, nil, err)
 		ctx.SetConnectionClose()
-		return
+		return nil
 	}
 	if p.serveWellKnown(ctx) {
-		return
+		return nil
 	}
-	removeInternal(&ctx.Request.Header)
 	effective := p.Configuration.InForce()
 	if effective == nil {
-		p.fail(ctx, nil, p.notReady())
-		return
+		p.fail(ctx, nil, earlierUnknown(&ctx.Request.Header, p.notReady()))
+		return nil
 	}
 	c, err := p.newCall(ctx, effective.Content)
 	if err == nil {
-		err = p.serve(c, effective)
+		err = p.serve(c)
 	}
 	p.finish(c, err)
+	return c
+}
+
+func (p *Proxy) beginRequest() { p.inFlight.Add(1) }
+
+// endRequest decides whether the connection goes on and counts the call down, at the end of its body if that is streamed.
+func (p *Proxy) endRequest(ctx *fasthttp.RequestCtx, c *call, last bool) {
+	conn, ok := ctx.Conn().(*serverConn)
+	if ok && !bodyEnds(ctx, c, conn) {
+		// A request that was sent before the answer to the one before it is refused: the connection ends with that answer.
+		conn.linger = true
+		last = true
+	}
+	if last {
+		ctx.SetConnectionClose()
+	}
+	if ok {
+		conn.endRequest()
+	}
+	if !chainOnClose(&ctx.Response, func() { p.inFlight.Add(-1) }) {
+		p.inFlight.Add(-1)
+	}
+}
+
+// bodyEnds reports whether the request was read to its end and nothing was sent behind it. Where a chunked body ends on the
+// connection is not known here, so that it always counts as not ended.
+func bodyEnds(ctx *fasthttp.RequestCtx, c *call, conn *serverConn) bool {
+	length := ctx.Request.Header.ContentLength()
+	switch {
+	case length < 0 && ctx.Request.IsBodyStream():
+		return false
+	case c != nil && c.stream != nil && c.stream.read < length:
+		return false
+	case conn.behind != int64(max(length, 0)):
+		return false
+	}
+	_, pending := peek(conn)
+	return !pending
 }
 
 func (p *Proxy) notReady() *problem.Problem {
@@ -50,7 +89,7 @@
 }
 
 // serve brings the call to a backend server and leaves the answer in the caller's response.
-func (p *Proxy) serve(c *call, effective *preset.Effective) error {
+func (p *Proxy) serve(c *call) error {
 	if !c.route.Idempotent {
 		return p.serveOperation(c)
 	}
@@ -67,7 +106,7 @@
 	if err != nil {
 		p.fail(c.ctx, c, err)
 	} else {
-		cleanAnswer(&c.ctx.Response.Header)
+		removeFromAnswer(&c.ctx.Response.Header)
 	}
 	c.ctx.Response.Header.Set(HeaderRequestID, c.id)
 	if c.route == nil {
@@ -92,10 +131,6 @@
 	if ticket != "" {
 		ctx.Response.Header.Set(HeaderOperationTicket, ticket)
 	}
-	// The rest of an unread body would be taken for the next request.
-	if ctx.Request.IsBodyStream() {
-		ctx.SetConnectionClose()
-	}
 	countProblem(answer)
 	if klog.V(1).Enabled() {
 		klog.InfoS("call refused", "requestID", answer.RequestID, "status", answer.Status, "reason", answer.Reason,
@@ -103,8 +138,13 @@
 	}
 }
 
-// asProblem returns the problem in err. An error of any other kind leaves the outcome unknown.
+// asProblem returns a copy of the problem in err. An error of any other kind leaves the outcome unknown.
 func asProblem(err error) *problem.Problem {
+	var failed *attemptError
+	if errors.As(err, &failed) {
+		copied := *failed.answer
+		return &copied
+	}
 	var p *problem.Problem
 	if errors.As(err, &p) {
 		copied := *p
@@ -112,11 +152,3 @@
 	}
 	return problem.New(fasthttp.StatusBadGateway, problem.Unknown, problem.ReasonUpstream, err.Error())
 }
-
-// cleanAnswer removes what must not reach the caller.
-func cleanAnswer(h *fasthttp.ResponseHeader) {
-	removeHopByHop(h)
-	for _, name := range []string{headerNotRun, headerDrain, headerRefused, headerExpectedWait} {
-		h.Del(name)
-	}
-}
--- /dev/null
+++ b/pkg/proxy/export_test.go
@@ -0,0 +1,19 @@
+package proxy
+
+// CheckHeadForTest and RequestPathForTest give the fuzz targets the checks of a head.
+var (
+	CheckHeadForTest   = checkHead
+	RequestPathForTest = requestPath
+)
+
+// HeadEndForTest returns the position of the end of a head that arrives in parts of size bytes.
+func HeadEndForTest(data []byte, size int) int {
+	var s headScanner
+	end := 0
+	for len(data) > 0 {
+		n := min(size, len(data))
+		end += s.scan(data[:n])
+		data = data[n:]
+	}
+	return end
+}
--- a/pkg/proxy/forward.go
+++ b/pkg/proxy/forward.go
@@ -6,7 +6,6 @@
 	"strconv"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
 	"github.com/hornbeamway/hornbeamway/pkg/dispatch"
@@ -26,12 +25,13 @@
 }
 
 // forwardCall sends the call to another entry VM and leaves its answer in the caller's response. A refusal of that VM
-// comes back as *problem.Problem; a connection that failed as *upstream.Error with a problem in front.
+// comes back as *problem.Problem; a connection that failed as *attemptError.
 func (p *Proxy) forwardCall(ctx context.Context, c *call, h hop) error {
-	req := p.outgoing(c, c.attempt)
+	req := c.outgoing(c.attempt)
 	defer fasthttp.ReleaseRequest(req)
 	req.Header.Set(headerHop, h.kind)
 	req.Header.Set(headerPeerKey, p.PeerKey)
+	req.Header.Set(headerRegion, p.Region)
 	if h.kind == hopDispatch {
 		req.Header.Set(headerPool, h.pool.Service+"/"+h.pool.DataCentre)
 	}
@@ -44,20 +44,20 @@
 		BeforeWrite:      func() error { return p.checkBeforeWrite(c, req) },
 	}
 	resp := &c.ctx.Response
-	err := p.Forward.RoundTrip(ctx, attempt, req, resp)
-	if err != nil && p.staleConnection(c, err) {
-		p.Forward.CloseIdle(h.address)
-		err = p.Forward.RoundTrip(ctx, attempt, req, resp)
-	}
-	if err != nil {
-		return errors.CombineErrors(attemptProblem(c, err), err)
+	if err := p.send(ctx, p.Forward, c, attempt, req, resp); err != nil {
+		return c.failedAttempt(err)
 	}
 	if h.kind == hopDispatch {
 		p.learnLoad(c.route.Class, h.pool, &resp.Header)
 	}
 	if len(resp.Header.Peek(headerRefused)) > 0 {
-		return decodeRefusal(resp)
+		refusal := decodeRefusal(resp)
+		if refusal.Attempt != problem.NotRun {
+			c.mayHaveRun.Store(true)
+		}
+		return refusal
 	}
+	c.mayHaveRun.Store(true)
 	return nil
 }
 
@@ -78,7 +78,7 @@
 // forwardTimeout is the wait for another VM after which an idempotent call that can be sent again is brought to the next
 // one: a third of the time left, so that two more VMs can be tried.
 func (p *Proxy) forwardTimeout(c *call) time.Duration {
-	if !c.route.Idempotent || !c.replayable || c.deadline.IsZero() {
+	if !c.route.Idempotent || !c.replayable() || c.deadline.IsZero() {
 		return 0
 	}
 	return max(minForwardTimeout, c.deadline.Sub(p.Clock.Now())/3)
@@ -92,7 +92,7 @@
 }
 
 // decodeRefusal reads the problem that another entry VM answered itself.
-func decodeRefusal(resp *fasthttp.Response) error {
+func decodeRefusal(resp *fasthttp.Response) *problem.Problem {
 	refusal := &problem.Problem{}
 	if err := json.Unmarshal(resp.Body(), refusal); err != nil {
 		return problem.New(fasthttp.StatusBadGateway, problem.Unknown, problem.ReasonUpstream, "unreadable refusal of another entry VM")
@@ -105,38 +105,61 @@
 
 // serveForwarded is the handler of the forward address.
 func (p *Proxy) serveForwarded(ctx *fasthttp.RequestCtx) {
-	p.inFlight.Add(1)
-	defer p.inFlight.Add(-1)
-	h := &ctx.Request.Header
-	if !p.isPeer(h) {
+	p.beginRequest()
+	last := ctx.Request.Header.ConnectionClose()
+	var c *call
+	if p.isPeer(&ctx.Request.Header) {
+		c = p.answerForwarded(ctx)
+	} else {
 		ctx.SetStatusCode(fasthttp.StatusForbidden)
-		ctx.SetConnectionClose()
-		return
+		last = true
 	}
-	kind, pool := string(h.Peek(headerHop)), parsePool(h.Peek(headerPool))
-	removeInternal(h)
+	p.endRequest(ctx, c, last)
+}
+
+// answerForwarded leaves the answer in the response. It returns the call if there was one.
+func (p *Proxy) answerForwarded(ctx *fasthttp.RequestCtx) *call {
+	h := &ctx.Request.Header
+	kind, pool, region := string(h.Peek(headerHop)), parsePool(h.Peek(headerPool)), string(h.Peek(headerRegion))
 	effective := p.Configuration.InForce()
 	if effective == nil {
-		p.refuseForwarded(ctx, nil, p.notReady())
-		return
+		p.refuseForwarded(ctx, nil, earlierUnknown(h, p.notReady()))
+		return nil
 	}
 	c, err := p.newCall(ctx, effective.Content)
 	if err == nil {
+		if region != "" && region != p.Region {
+			c.answerPace = p.linkPace(context.Background(), c)
+		}
 		err = p.serveHop(c, kind, pool)
 	}
 	if err != nil {
 		p.refuseForwarded(ctx, c, err)
+	} else {
+		removeHopByHop(&ctx.Response.Header)
 	}
 	if kind == hopDispatch {
 		p.reportLoad(c, pool)
 	}
+	p.paceAnswer(c)
+	return c
+}
+
+// paceAnswer makes an answer in memory wait for its share of the region link. A streamed one waits as it is sent.
+func (p *Proxy) paceAnswer(c *call) {
+	if c.answerPace == nil || c.ctx.Response.IsBodyStream() || len(c.ctx.Response.Body()) == 0 {
+		return
+	}
+	// An answer is sent even if its share never came, because the call was run.
+	_ = c.answerPace(len(c.ctx.Response.Body()))
 }
 
 func (p *Proxy) serveHop(c *call, kind string, pool dispatch.PoolKey) error {
 	switch kind {
 	case hopDispatch:
+		p.retries.earn(c.route.Service)
 		ctx, stop := p.watcher.watch(context.Background(), c.ctx.Conn())
-		err := p.serveFromPool(ctx, c, pool)
+		err := c.settle(p.serveFromPool(ctx, c, pool))
 		if !chainOnClose(&c.ctx.Response, stop) {
 			stop()
 		}
@@ -144,7 +167,7 @@
 	case hopOwner:
 		return p.serveOwned(c)
 	}
-	return problem.New(fasthttp.StatusBadRequest, problem.NotRun, problem.ReasonBadRequest, "unknown hop")
+	return badRequest("unknown hop")
 }
 
 // serveOwned runs an operation for which another VM took this one for the owner. It is never forwarded again.
--- a/pkg/proxy/header.go
+++ b/pkg/proxy/header.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"iter"
 	"math"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -24,6 +26,7 @@
 	headerPeerKey      = "Hornbeamway-Peer-Key"
 	headerAttempt      = "Hornbeamway-Attempt"
 	headerPool         = "Hornbeamway-Pool"
+	headerRegion       = "Hornbeamway-Region"
 	headerRefused      = "Hornbeamway-Refused"
 	headerExpectedWait = "Hornbeamway-Expected-Wait-Us"
 )
@@ -40,47 +43,105 @@
 	hopDispatch = "dispatch"
 )
 
-// hopByHop are the headers that end at each hop (RFC 9110, section 7.6.1). fasthttp handles Transfer-Encoding itself.
-var hopByHop = []string{
-	fasthttp.HeaderConnection, "Keep-Alive", "Proxy-Connection", fasthttp.HeaderProxyAuthenticate,
-	fasthttp.HeaderProxyAuthorization, fasthttp.HeaderTE, fasthttp.HeaderUpgrade,
+// endsAtHop reports the hop-by-hop headers (RFC 9110, section 7.6.1). fasthttp handles Transfer-Encoding itself.
+func endsAtHop(name []byte) bool {
+	switch string(name) {
+	case fasthttp.HeaderConnection, "Keep-Alive", "Proxy-Connection", fasthttp.HeaderProxyAuthenticate,
+		fasthttp.HeaderProxyAuthorization, "Te", fasthttp.HeaderUpgrade:
+		return true
+	}
+	return false
+}
+
+// isInternal reports the headers that only entry VMs and backend servers may set.
+func isInternal(name []byte) bool {
+	return len(name) >= len(headerPrefix) && strings.EqualFold(string(name[:len(headerPrefix)]), headerPrefix)
+}
+
+// removeFromRequest removes the headers that end at this VM. The attempt number stays: a backend server passes it on when
+// it calls another service. Expect ends here because this VM has already admitted the body.
+func removeFromRequest(h *fasthttp.RequestHeader) {
+	removeHeaders(h, func(name []byte) bool {
+		return endsAtHop(name) || string(name) == fasthttp.HeaderExpect || isInternal(name) && string(name) != headerAttempt
+	})
+}
+
+// removeFromAnswer removes the headers that must not reach the caller.
+func removeFromAnswer(h *fasthttp.ResponseHeader) {
+	removeHeaders(h, func(name []byte) bool { return endsAtHop(name) || isInternal(name) })
 }
 
+// removeHopByHop removes the headers that must not pass between two connections.
+func removeHopByHop(h *fasthttp.ResponseHeader) { removeHeaders(h, endsAtHop) }
+
 // headers is what request and response heads have in common.
 type headers interface {
-	Peek(key string) []byte
-	Del(key string)
+	All() iter.Seq2[[]byte, []byte]
+	PeekAll(key string) [][]byte
 	DelBytes(key []byte)
+	AddBytesKV(key, value []byte)
 	ResetConnectionClose()
 }
 
-// removeHopByHop removes the hop-by-hop headers and those that the Connection header names.
-func removeHopByHop(h headers) {
-	if connection := h.Peek(fasthttp.HeaderConnection); len(connection) > 0 {
-		for name := range bytes.SplitSeq(bytes.Clone(connection), []byte(",")) {
-			if name = bytes.TrimSpace(name); len(name) > 0 {
-				h.DelBytes(name)
-			}
+// removeHeaders removes the headers for which ends is true and those that Connection names.
+func removeHeaders(h headers, ends func(name []byte) bool) {
+	var names [][]byte
+	for name := range h.All() {
+		if ends(name) {
+			names = append(names, bytes.Clone(name))
 		}
 	}
+	names = append(names, namedByConnection(h.PeekAll(fasthttp.HeaderConnection))...)
 	h.ResetConnectionClose()
-	for _, name := range hopByHop {
-		h.Del(name)
+	if len(names) == 0 {
+		return
+	}
+	repeated := repeatedHeaders(h)
+	for _, name := range names {
+		h.DelBytes(name)
+		delete(repeated, string(name))
+	}
+	for name, values := range repeated {
+		h.DelBytes([]byte(name))
+		for _, value := range values {
+			h.AddBytesKV([]byte(name), value)
+		}
 	}
 }
 
-// removeInternal removes the headers that only entry VMs and backend servers may set. The attempt number stays: a backend
-// server passes it on when it calls another service.
-func removeInternal(h *fasthttp.RequestHeader) {
-	var names [][]byte
-	for key := range h.All() {
-		if bytes.HasPrefix(key, []byte(headerPrefix)) && string(key) != headerAttempt {
-			names = append(names, bytes.Clone(key))
+// repeatedHeaders returns the values of the headers that occur more than once. Removing a header from fasthttp's list moves
+// the last one to its place, which would change the order of the values. Cookies are kept in a list of their own.
+func repeatedHeaders(h headers) map[string][][]byte {
+	count := map[string]int{}
+	for name := range h.All() {
+		count[string(name)]++
+	}
+	repeated := map[string][][]byte{}
+	for name, value := range h.All() {
+		if count[string(name)] > 1 && string(name) != fasthttp.HeaderSetCookie && string(name) != fasthttp.HeaderCookie {
+			repeated[string(name)] = append(repeated[string(name)], bytes.Clone(value))
 		}
 	}
-	for _, name := range names {
-		h.DelBytes(name)
+	return repeated
+}
+
+// namedByConnection returns the header names in the values of Connection. Headers that frame or route the message do not
+// end at a hop, whatever the sender says.
+func namedByConnection(values [][]byte) [][]byte {
+	var names [][]byte
+	for _, value := range values {
+		for name := range bytes.SplitSeq(value, []byte(",")) {
+			name = bytes.TrimSpace(name)
+			switch strings.ToLower(string(name)) {
+			case "", "close", "keep-alive", "host", "content-length", "transfer-encoding", "trailer", "content-type":
+				continue
+			case strings.ToLower(HeaderIdempotencyKey):
+				continue
+			}
+			names = append(names, bytes.Clone(name))
+		}
 	}
+	return names
 }
 
 // parseDeadline returns the deadline of a request that arrived at now. ok is false if the header is not a number of
--- a/pkg/proxy/hedge.go
+++ b/pkg/proxy/hedge.go
@@ -17,7 +17,7 @@
 // hedgeDelay returns the time after which a second attempt starts, or 0 for none. Only the first attempt of an idempotent
 // interactive call is hedged.
 func (p *Proxy) hedgeDelay(c *call, pool dispatch.PoolKey, retry int) time.Duration {
-	if !c.route.Hedge || !c.route.Idempotent || c.route.Class != priority.Interactive || !c.replayable || retry > 0 || c.attempt > 0 {
+	if !c.route.Hedge || !c.route.Idempotent || c.route.Class != priority.Interactive || !c.replayable() || retry > 0 || c.attempt > 0 {
 		return 0
 	}
 	load, ok := p.Pools.Load(pool)
@@ -63,7 +63,9 @@
 		cancelHedge()
 	}
 	<-second.done
-	if second.won && result.err != nil {
+	if second.won {
+		// The first attempt was cancelled, so that a body that it may have begun is not whole.
+		cancelFirst(errHedgeWon)
 		resp.CopyTo(first.resp)
 		return second.result
 	}
@@ -90,7 +92,7 @@
 	if err != nil {
 		return
 	}
-	countHedge(c.route.Service)
+	hedges.get(c.route.Service).Inc()
 	second.result = p.run(ctx, try{call: c, pool: first.pool, slot: slot, resp: resp, number: first.number + 1})
 	// A streamed answer cannot move to the caller's response; interactive answers are small.
 	second.won = second.result.err == nil && !second.result.again && !resp.IsBodyStream()
--- a/pkg/proxy/listener.go
+++ b/pkg/proxy/listener.go
@@ -3,25 +3,28 @@
 import (
 	"net"
 	"sync"
-	"syscall"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 )
 
 var connectionsRefused = metrics.NewCounter(`hornbeamway_caller_connections_refused_total`)
 
-// limitedListener closes connections above a total and above a number for one caller address.
+// limitedListener closes connections above a total and above a number for one caller address, and knows the open ones.
 type limitedListener struct {
 	net.Listener
 	total, perCaller int
+	bodyIdle         time.Duration
 
-	mu     sync.Mutex
-	open   int
-	caller map[string]int
+	mu       sync.Mutex
+	open     map[*serverConn]struct{}
+	caller   map[string]int
+	stopping bool
 }
 
-func newLimitedListener(l net.Listener, total, perCaller int) *limitedListener {
-	return &limitedListener{Listener: l, total: total, perCaller: perCaller, caller: map[string]int{}}
+func newLimitedListener(l net.Listener, total, perCaller int, bodyIdle time.Duration) *limitedListener {
+	return &limitedListener{Listener: l, total: total, perCaller: perCaller, bodyIdle: bodyIdle,
+		open: map[*serverConn]struct{}{}, caller: map[string]int{}}
 }
 
 // Accept implements net.Listener.
@@ -32,55 +35,48 @@
 			return nil, err
 		}
 		host, _, err := net.SplitHostPort(c.RemoteAddr().String())
-		if err != nil || !l.admit(host) {
-			connectionsRefused.Inc()
-			_ = c.Close()
-			continue
+		if err == nil {
+			if admitted := l.admit(c, host); admitted != nil {
+				return admitted, nil
+			}
 		}
-		return &limitedConn{Conn: c, listener: l, host: host}, nil
+		connectionsRefused.Inc()
+		_ = c.Close()
 	}
 }
 
-func (l *limitedListener) admit(host string) bool {
+func (l *limitedListener) admit(c net.Conn, host string) *serverConn {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.open >= l.total || l.caller[host] >= l.perCaller {
-		return false
+	if l.stopping || len(l.open) >= l.total || l.caller[host] >= l.perCaller {
+		return nil
 	}
-	l.open++
+	admitted := &serverConn{Conn: c, listener: l, host: host}
+	l.open[admitted] = struct{}{}
 	l.caller[host]++
-	return true
+	return admitted
 }
 
-func (l *limitedListener) release(host string) {
+func (l *limitedListener) release(c *serverConn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.open--
-	l.caller[host]--
-	if l.caller[host] == 0 {
-		delete(l.caller, host)
+	delete(l.open, c)
+	l.caller[c.host]--
+	if l.caller[c.host] == 0 {
+		delete(l.caller, c.host)
 	}
 }
 
-// limitedConn gives its place back when it is closed.
-type limitedConn struct {
-	net.Conn
-	listener *limitedListener
-	host     string
-	once     sync.Once
-}
-
-// Close implements net.Conn.
-func (c *limitedConn) Close() error {
-	c.once.Do(func() { c.listener.release(c.host) })
-	return c.Conn.Close()
-}
-
-// SyscallConn implements syscall.Conn.
-func (c *limitedConn) SyscallConn() (syscall.RawConn, error) {
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return nil, syscall.ENOTSUP
+// stop ends the connections that wait for a request. Others end with the answer that they are busy with.
+func (l *limitedListener) stop() {
+	l.mu.Lock()
+	l.stopping = true
+	open := make([]*serverConn, 0, len(l.open))
+	for c := range l.open {
+		open = append(open, c)
+	}
+	l.mu.Unlock()
+	for _, c := range open {
+		c.stop()
 	}
-	return sc.SyscallConn()
 }
--- a/pkg/proxy/operation.go
+++ b/pkg/proxy/operation.go
@@ -46,7 +46,7 @@
 
 // runOwned runs a call whose key this VM owns, or answers from the operation memory.
 func (p *Proxy) runOwned(c *call, key string) error {
-	fingerprint := operation.Fingerprint(c.ctx.Method(), c.ctx.Request.Header.RequestURI(), c.ctx.Request.Body())
+	fingerprint := operation.Fingerprint(c.ctx.Method(), c.ctx.Request.Header.RequestURI(), c.body)
 	entry, verdict := p.Operations.Begin(c.arrived, key, fingerprint, c.deadline)
 	switch verdict {
 	case operation.Run:
@@ -75,15 +75,10 @@
 	return failure
 }
 
-// endAnswered ends an entry whose call got an answer. An answer that says that it was not run leaves the key free.
+// endAnswered ends an entry whose call got an answer, and keeps the answer for a repeat.
 func (p *Proxy) endAnswered(c *call, entry *operation.Entry) error {
 	resp := &c.ctx.Response
-	if len(resp.Header.Peek(headerNotRun)) > 0 {
-		failure := problem.New(resp.StatusCode(), problem.NotRun, problem.ReasonUpstream, "the backend server did not run the operation")
-		failure.Outcome = p.Operations.NotRun(entry)
-		return failure
-	}
-	cleanAnswer(&resp.Header)
+	removeFromAnswer(&resp.Header)
 	body, complete, err := takeBody(resp)
 	if err != nil {
 		p.Operations.Unknown(entry)
@@ -142,13 +137,19 @@
 	return nil
 }
 
-// forwardToOwner sends the call to the VM that owns its key. Only that VM may run it, so there is no second way.
+// forwardToOwner sends the call to the VM that owns its key. Only that VM may run it, so there is no second way. When it
+// cannot be reached, what became of earlier attempts is not known.
 func (p *Proxy) forwardToOwner(c *call, owner operation.Owner) error {
+	c.crossing = false
 	err := p.forwardCall(context.Background(), c, hop{kind: hopOwner, vm: owner.VM, address: owner.Forward})
-	var failure *problem.Problem
-	if errors.As(err, &failure) && failure.Reason == problem.ReasonUpstream && failure.Attempt == problem.NotRun {
-		failure.Reason, failure.Outcome = problem.ReasonOwnerUnreachable, problem.Unknown
-		failure.Detail = "the VM that owns the key cannot be reached; this attempt was not run, earlier ones may have been"
+	var failed *attemptError
+	if !errors.As(err, &failed) || failed.answer.Attempt != problem.NotRun {
+		return err
+	}
+	failed.answer.Outcome = problem.Unknown
+	if failed.answer.Reason == problem.ReasonUpstream {
+		failed.answer.Reason = problem.ReasonOwnerUnreachable
+		failed.answer.Detail = "the VM that owns the key cannot be reached; this attempt was not run, earlier ones may have been"
 	}
 	return err
 }
--- a/pkg/proxy/outgoing.go
+++ b/pkg/proxy/outgoing.go
@@ -1,6 +1,8 @@
 package proxy
 
 import (
+	"bytes"
+	"context"
 	"io"
 	"strconv"
 
@@ -8,31 +10,61 @@
 )
 
 // outgoing returns a copy of the caller's request for one attempt. The caller releases it.
-func (p *Proxy) outgoing(c *call, number int) *fasthttp.Request {
+func (c *call) outgoing(number int) *fasthttp.Request {
+	c.copying.Lock()
+	defer c.copying.Unlock()
 	req := fasthttp.AcquireRequest()
 	in := &c.ctx.Request
 	in.Header.CopyTo(&req.Header)
-	removeHopByHop(&req.Header)
-	removeInternal(&req.Header)
-	req.Header.Set(HeaderRequestID, c.id)
-	setAttempt(&req.Header, number)
-	// Expect ends here: this VM has already read or admitted the body.
-	req.Header.Del(fasthttp.HeaderExpect)
-	if in.IsBodyStream() {
-		// The stream is shared between attempts; it is sent again only if no attempt has read from it.
-		req.SetBodyStream(unclosed{in.BodyStream()}, in.Header.ContentLength())
-		return req
+	if number > 0 {
+		// A service deeper in the call tree does not retry a retry.
+		req.Header.Set(headerAttempt, strconv.Itoa(number))
+	}
+	length := in.Header.ContentLength()
+	switch {
+	case c.stream != nil:
+		req.SetBodyStream(c.stream, length)
+		// Trailers arrive behind the last byte of the body.
+		c.stream.onEnd = func() { copyTrailers(&req.Header, &in.Header) }
+	case length < 0 && len(in.Header.PeekTrailerKeys()) > 0:
+		// Only a chunked body carries trailers.
+		req.SetBodyStream(bytes.NewReader(c.body), -1)
+	default:
+		req.SetBodyRaw(c.body)
 	}
-	req.SetBodyRaw(in.Body())
 	return req
 }
 
-// setAttempt passes the number of the attempt on, so that a service deeper in the call tree does not retry a retry.
-func setAttempt(h *fasthttp.RequestHeader, number int) {
-	if number > 0 {
-		h.Set(headerAttempt, strconv.Itoa(number))
+func copyTrailers(to, from *fasthttp.RequestHeader) {
+	for _, key := range from.PeekTrailerKeys() {
+		to.SetBytesKV(key, from.PeekBytes(key))
+	}
+}
+
+// paceRequest makes the body of req wait for its share of the region link. A body in memory waits here, before anything
+// is written; a stream waits as it is sent.
+func (p *Proxy) paceRequest(ctx context.Context, c *call, req *fasthttp.Request) error {
+	pace := p.linkPace(ctx, c)
+	if c.stream == nil {
+		if len(c.body) == 0 {
+			return nil
+		}
+		return pace(len(c.body))
 	}
+	req.SetBodyStream(pacedReader{Reader: io.Reader(c.stream), pace: pace}, c.ctx.Request.Header.ContentLength())
+	return nil
 }
 
-// unclosed keeps the stream of the caller's body open when a request that sent it is released.
-type unclosed struct{ io.Reader }
+// linkPace returns a function that waits for the right to send bytes over the region link and counts them.
+func (p *Proxy) linkPace(ctx context.Context, c *call) func(bytes int) error {
+	sent := linkBytes.get(c.route.Class)
+	return func(bytes int) error {
+		if p.Pacer != nil {
+			if err := p.Pacer.Wait(ctx, c.route.Class, bytes); err != nil {
+				return err
+			}
+		}
+		sent.Add(bytes)
+		return nil
+	}
+}
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -6,6 +6,7 @@
 	"context"
 	"crypto/subtle"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -91,6 +92,9 @@
 	forward  *fasthttp.Server
 	draining atomic.Bool
 	inFlight atomic.Int64
+
+	mu        sync.Mutex
+	listeners []*limitedListener
 }
 
 // Shares of the traffic that may be spent on second attempts, and the burst in calls.
@@ -126,6 +130,7 @@
 		StreamRequestBody:            true,
 		DisablePreParseMultipartForm: true,
 		ReadBufferSize:               int(p.Limits.HeaderSize),
+		MaxRequestBodySize:           bufferedBody,
 		ReadTimeout:                  p.Limits.HeaderTimeout.Std(),
 		IdleTimeout:                  idleTimeout,
 		Concurrency:                  concurrency,
@@ -144,22 +149,30 @@
 
 func (silentLogger) Printf(string, ...any) {}
 
-// Serve serves callers and forwarded calls until ctx ends. It returns nil after a shutdown.
+// Serve serves callers and forwarded calls until Shutdown, and looks after connections until ctx ends. It returns nil after
+// a shutdown.
 func (p *Proxy) Serve(ctx context.Context, callers, forward net.Listener) error {
 	group, ctx := errgroup.WithContext(ctx)
-	limited := newLimitedListener(callers, p.Limits.Connections, p.Limits.ConnectionsPerCaller)
-	group.Go(func() error { return serveError(p.callers.Serve(limited)) })
-	group.Go(func() error { return serveError(p.forward.Serve(forward)) })
+	idle := p.Limits.BodyIdleTimeout.Std()
+	limited := newLimitedListener(callers, p.Limits.Connections, p.Limits.ConnectionsPerCaller, idle)
+	peers := newLimitedListener(forward, forwardConcurrency, forwardConcurrency, idle)
+	p.mu.Lock()
+	p.listeners = []*limitedListener{limited, peers}
+	p.mu.Unlock()
+	group.Go(func() error { return serve(p.callers, limited, peers) })
+	group.Go(func() error { return serve(p.forward, peers, limited) })
 	group.Go(func() error { p.watcher.run(ctx); return nil })
 	group.Go(func() error { p.closeExpired(ctx); return nil })
 	return group.Wait()
 }
 
-func serveError(err error) error {
+// serve serves l. An error ends the other listener as well, so that the process does not go on with half of its service.
+func serve(s *fasthttp.Server, l, other net.Listener) error {
+	err := s.Serve(l)
 	if err == nil {
 		return nil
 	}
-	return errors.Mark(err, ErrServe)
+	return errors.Mark(errors.CombineErrors(err, other.Close()), ErrServe)
 }
 
 // closeExpired closes connections that have been idle for too long.
@@ -175,16 +188,34 @@
 	}
 }
 
-// Drain makes health checks fail, so that the platform's balancer sends no new callers.
+// Drain makes health checks fail, so that the platform's balancer sends no new callers, and ends each connection with its
+// next answer.
 func (p *Proxy) Drain() { p.draining.Store(true) }
 
-// Shutdown stops accepting calls and waits until those in flight have ended, or ctx has.
+// Shutdown stops accepting connections, ends those that wait for a request, and waits until the calls in flight have ended,
+// or ctx has.
 func (p *Proxy) Shutdown(ctx context.Context) error {
-	err := p.callers.ShutdownWithContext(ctx)
-	return errors.CombineErrors(err, p.forward.ShutdownWithContext(ctx))
+	p.Drain()
+	// Other VMs may be forwarding calls of their callers while the calls in flight here end, so both end together.
+	group := errgroup.Group{}
+	for i, server := range []*fasthttp.Server{p.callers, p.forward} {
+		group.Go(func() error {
+			p.stopListener(i)
+			return server.ShutdownWithContext(ctx)
+		})
+	}
+	return group.Wait()
+}
+
+func (p *Proxy) stopListener(i int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if i < len(p.listeners) {
+		p.listeners[i].stop()
+	}
 }
 
-// InFlight returns the number of calls being served.
+// InFlight returns the number of calls being served, up to the end of their answers.
 func (p *Proxy) InFlight() int64 { return p.inFlight.Load() }
 
 // Ready reports whether calls are admitted, and the reason if not.
--- a/pkg/upstream/body.go
+++ b/pkg/upstream/body.go
@@ -12,17 +12,21 @@
 type Body struct {
 	exchange *exchange
 	inner    *fasthttp.Response
-	// left is the number of bytes left of a body of known length.
-	left       int
-	unread     []byte
-	complete   bool
-	stopCancel func() bool
-	onClose    []func()
+	// length is the length of the body, negative if it is not known; left is how much of it was not read.
+	length, left int
+	unread       []byte
+	complete     bool
+	stopCancel   func() bool
+	onClose      []func()
+	pace         func(bytes int) error
 }
 
 // OnClose adds a function that runs once after Close. Functions run in the order in which they were added.
 func (b *Body) OnClose(f func()) { b.onClose = append(b.onClose, f) }
 
+// Pace adds a function that is called with the number of bytes before they are handed on. Its error ends the body.
+func (b *Body) Pace(f func(bytes int) error) { b.pace = f }
+
 // Unread puts bytes that were read back in front of the rest. It may be called once.
 func (b *Body) Unread(p []byte) { b.unread = p }
 
@@ -40,19 +44,32 @@
 		return 0, io.ErrClosedPipe
 	}
 	n, err := b.inner.BodyStream().Read(p)
-	if b.left > 0 {
-		b.left -= n
-	}
-	if errors.Is(err, io.EOF) {
-		if b.left > 0 {
-			return n, io.ErrUnexpectedEOF
+	if err = b.advance(n, err); n > 0 && b.pace != nil {
+		if paceErr := b.pace(n); paceErr != nil {
+			return 0, paceErr
 		}
-		b.complete = true
-		b.copyTrailers()
 	}
 	return n, err
 }
 
+// advance notes n bytes and the end of the body. The reader of a body of known length stops at its last byte and does not
+// see the end of the stream.
+func (b *Body) advance(n int, err error) error {
+	if b.length >= 0 {
+		b.left -= n
+		b.complete = b.left == 0
+	}
+	if !errors.Is(err, io.EOF) {
+		return err
+	}
+	if b.length >= 0 && b.left > 0 {
+		return io.ErrUnexpectedEOF
+	}
+	b.complete = true
+	b.copyTrailers()
+	return err
+}
+
 // copyTrailers sets the trailers, which arrive behind the last chunk, on the answer.
 func (b *Body) copyTrailers() {
 	for _, key := range b.inner.Header.PeekTrailerKeys() {
@@ -67,7 +84,7 @@
 	}
 	cancelled := !b.stopCancel()
 	c := b.exchange.conn
-	reusable := b.complete && !cancelled && !b.inner.Header.ConnectionClose() && b.inner.Header.ContentLength() != identityBody
+	reusable := b.complete && !cancelled && !c.broken && !b.inner.Header.ConnectionClose() && b.inner.Header.ContentLength() != identityBody
 	_ = b.inner.CloseBodyStream()
 	fasthttp.ReleaseResponse(b.inner)
 	b.inner = nil
--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -30,8 +30,9 @@
 }
 
 func (x *exchange) run(ctx context.Context) error {
-	// A cancelled context expires the socket's deadlines, which ends a blocked read or write.
-	stop := context.AfterFunc(ctx, func() { _ = x.conn.SetDeadline(time.Unix(1, 0)) })
+	// A cancelled context closes the socket, which ends a blocked read or write. A deadline in the past would not last: the
+	// next read sets its own.
+	stop := context.AfterFunc(ctx, func() { _ = x.conn.Conn.Close() })
 	err := x.sendAndReceive(ctx)
 	if !stop() && err == nil && x.complete {
 		err = context.Cause(ctx)
@@ -56,7 +57,7 @@
 func (x *exchange) sendAndReceive(ctx context.Context) error {
 	x.stage = StageWrite
 	if err := x.write(ctx); err != nil {
-		return err
+		return x.earlyAnswer(ctx, err)
 	}
 	x.stage = StageAwait
 	if err := x.awaitFirstByte(ctx); err != nil {
@@ -84,6 +85,32 @@
 	return x.conn.writer.Flush()
 }
 
+// earlyAnswerWait is how long an answer may take that the other side sent before it closed the connection on a request
+// that was still being written. It has arrived by then in most cases.
+const earlyAnswerWait = 50 * time.Millisecond
+
+// earlyAnswer reads the answer of a server that refused a request before it had read all of it. It returns writeErr if
+// there is none. The connection is not used again.
+func (x *exchange) earlyAnswer(ctx context.Context, writeErr error) error {
+	if x.conn.written == 0 || ctx.Err() != nil || isTimeout(writeErr) || !isNetError(writeErr) {
+		return writeErr
+	}
+	x.conn.broken = true
+	if x.conn.SetDeadline(time.Now().Add(earlyAnswerWait)) != nil {
+		return writeErr
+	}
+	if _, err := x.conn.reader.Peek(1); err != nil || x.readHead() != nil || x.readBody(ctx) != nil {
+		return writeErr
+	}
+	return nil
+}
+
+// isNetError tells an error of the connection from one of the source of the body.
+func isNetError(err error) bool {
+	var netErr net.Error
+	return errors.As(err, &netErr)
+}
+
 func (x *exchange) awaitFirstByte(ctx context.Context) error {
 	deadline := x.attempt.Deadline
 	if t := x.attempt.FirstByteTimeout; t > 0 {
@@ -108,7 +135,16 @@
 }
 
 func (x *exchange) readHead() error {
-	x.conn.idleLimit = x.bodyIdle
+	if !x.conn.broken {
+		// The head and a small body arrive within the attempt's deadline, or the longest pause if there is none.
+		deadline := x.attempt.Deadline
+		if deadline.IsZero() {
+			deadline = time.Now().Add(x.bodyIdle)
+		}
+		if err := x.conn.SetDeadline(deadline); err != nil {
+			return err
+		}
+	}
 	skipBody := x.req.Header.IsHead()
 	x.resp.Reset()
 	x.resp.SkipBody = skipBody
@@ -150,7 +186,7 @@
 
 // giveBack returns the connection, or closes it if the answer ends its use.
 func (x *exchange) giveBack() {
-	if x.resp.Header.ConnectionClose() || x.resp.Header.ContentLength() == identityBody {
+	if x.conn.broken || x.resp.Header.ConnectionClose() || x.resp.Header.ContentLength() == identityBody {
 		x.conn.host.discard(x.conn)
 		return
 	}
@@ -162,6 +198,8 @@
 
 // streamBody leaves the body on the connection for the caller to read.
 func (x *exchange) streamBody(ctx context.Context, length int) error {
+	// A streamed body may take as long as it needs while it makes progress.
+	x.conn.idleLimit = x.bodyIdle
 	inner := fasthttp.AcquireResponse()
 	x.resp.Header.CopyTo(&inner.Header)
 	inner.StreamBody = true
@@ -169,7 +207,7 @@
 		fasthttp.ReleaseResponse(inner)
 		return err
 	}
-	b := &Body{exchange: x, inner: inner, left: length}
+	b := &Body{exchange: x, inner: inner, length: length, left: length}
 	b.stopCancel = context.AfterFunc(ctx, func() { _ = x.conn.Conn.Close() })
 	if length == identityBody {
 		length = -1
--- a/pkg/upstream/host.go
+++ b/pkg/upstream/host.go
@@ -28,6 +28,7 @@
 	lastAnswer time.Time // zero until the first answer was read to the end
 	written    int64     // bytes accepted by the kernel in this attempt
 	idleLimit  time.Duration
+	broken     bool // not to be used again, whatever the answer says
 }
 
 // Write counts the bytes that the kernel accepted.
@@ -56,8 +57,13 @@
 	mu    sync.Mutex
 	idle  []*conn // most recently used last
 	count int     // open connections, idle or in use
+	// retired says that the transport has forgotten this host, so that the cap and the rate are kept by another one.
+	retired bool
 }
 
+// errRetired reports a host that was forgotten between its look-up and its use.
+var errRetired = errors.New("host was forgotten")
+
 func newHost(address string, opts *Options) *host {
 	limit := rate.Inf
 	if opts.NewConnRate > 0 {
@@ -141,6 +147,9 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if h.retired {
+		return errRetired
+	}
 	if limit > 0 && h.count >= limit && len(h.idle) > 0 {
 		oldest := h.idle[0]
 		h.idle = h.idle[1:]
@@ -230,4 +239,10 @@
 	return h.count
 }
 
-func (h *host) unused() bool { return h.open() == 0 }
+// retire ends the use of a host without connections.
+func (h *host) retire() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.retired = h.count == 0
+	return h.retired
+}
--- a/pkg/upstream/transport.go
+++ b/pkg/upstream/transport.go
@@ -24,8 +24,6 @@
 	ErrPaced = errors.New("rate of new connections exceeded")
 	// ErrSwitchingProtocols reports an answer with status 101, which is not supported.
 	ErrSwitchingProtocols = errors.New("protocol upgrade is not supported")
-	// ErrLeftover reports bytes behind the end of an answer.
-	ErrLeftover = errors.New("unexpected bytes behind the answer")
 )
 
 // Options are the settings of a Transport.
@@ -86,7 +84,7 @@
 	Address string
 	// Idempotent requests may use any idle connection; others only one that answered recently, or a new one.
 	Idempotent bool
-	// Deadline ends the attempt until the first byte of the answer. Zero: none.
+	// Deadline ends the attempt until the head of the answer, and a body that is not streamed, were read. Zero: none.
 	Deadline time.Time
 	// FirstByteTimeout bounds the wait for the first byte of the answer. Zero: only Deadline.
 	FirstByteTimeout time.Duration
@@ -110,19 +108,28 @@
 // RoundTrip sends req and reads the answer into resp. A body of more than smallBody bytes, or of unknown length, is left
 // as a stream in resp; closing it (fasthttp.Response.CloseBodyStream) gives the connection back. Every error is an *Error.
 func (t *Transport) RoundTrip(ctx context.Context, a Attempt, req *fasthttp.Request, resp *fasthttp.Response) error {
-	h := t.host(a.Address)
-	c, err := h.get(ctx, a)
+	c, err := t.connection(ctx, a)
 	if err != nil {
 		return &Error{Address: a.Address, Stage: StageConnect, Timeout: isTimeout(err), Cancelled: ctx.Err() != nil, Cause: err}
 	}
 	x := exchange{conn: c, attempt: a, req: req, resp: resp, bodyIdle: t.opts.BodyIdleTimeout}
 	if err := x.run(ctx); err != nil {
-		h.discard(c)
+		c.host.discard(c)
 		return err
 	}
 	return nil
 }
 
+// connection returns a connection that suits the attempt.
+func (t *Transport) connection(ctx context.Context, a Attempt) (*conn, error) {
+	for {
+		c, err := t.host(a.Address).get(ctx, a)
+		if !errors.Is(err, errRetired) {
+			return c, err
+		}
+	}
+}
+
 // CloseIdle closes all idle connections to address.
 func (t *Transport) CloseIdle(address string) {
 	t.host(address).closeIdle(time.Time{})
@@ -136,7 +143,7 @@
 	defer t.mu.Unlock()
 	for address, h := range t.hosts {
 		h.closeIdle(cutoff)
-		if h.unused() {
+		if h.retire() {
 			delete(t.hosts, address)
 		}
 	}
--- a/pkg/upstream/upstream_test.go
+++ b/pkg/upstream/upstream_test.go
@@ -282,4 +282,75 @@
 		Expect(try().Timeout).To(BeTrue())
 		Expect(try().Cause).To(MatchError(upstream.ErrPaced))
 	})
+
+	// Guards against a large body that costs a new connection because its reader stops at the last byte.
+	It("gives a connection back after the last byte of a body of known length", func() {
+		large := strings.Repeat("x", 100_000)
+		s := serve(func(_ int, _ string, c net.Conn) bool { return answer(c, large) })
+		for range 2 {
+			Expect(get(s)).To(Succeed())
+			_, err := io.CopyN(io.Discard, resp.BodyStream(), int64(len(large)))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(resp.CloseBodyStream()).To(Succeed())
+		}
+		Expect(s.connections.Load()).To(BeEquivalentTo(1))
+	})
+
+	// Guards against a cancellation or a deadline that is lost once the answer has begun.
+	It("ends an attempt whose answer stops within the head", func() {
+		cancelled, cancel := context.WithCancel(ctx)
+		s := serve(func(_ int, _ string, c net.Conn) bool {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-")
+			cancel()
+			_, _ = c.Read(make([]byte, 1))
+			return false
+		})
+		e := failure(transport.RoundTrip(cancelled, upstream.Attempt{Address: s.address}, request("GET", "/"), resp))
+		Expect(e.Cancelled).To(BeTrue())
+		started := time.Now()
+		a := upstream.Attempt{Address: s.address, Deadline: started.Add(100 * time.Millisecond)}
+		Expect(failure(transport.RoundTrip(ctx, a, request("GET", "/"), resp)).Timeout).To(BeTrue())
+		Expect(time.Since(started)).To(BeNumerically("<", 900*time.Millisecond))
+	})
+
+	// Guards against an answer that is lost because the server closed the connection on a request that it had refused.
+	It("reads an answer that comes before the request was written whole", func() {
+		s := serve(func(_ int, _ string, c net.Conn) bool {
+			_, _ = io.WriteString(c, "HTTP/1.1 413 Too Large\r\nContent-Length: 3\r\n\r\nbig")
+			return false
+		})
+		req := request("PUT", "/")
+		req.SetBodyStream(strings.NewReader(strings.Repeat("x", 16<<20)), 16<<20)
+		Expect(transport.RoundTrip(ctx, upstream.Attempt{Address: s.address}, req, resp)).To(Succeed())
+		Expect(resp.StatusCode()).To(Equal(413))
+		Expect(string(resp.Body())).To(Equal("big"))
+		Expect(transport.Open(s.address)).To(BeZero())
+	})
+
+	// Guards against two records of one address, each of which allows the whole connection cap.
+	It("keeps to the connection cap while unused addresses are forgotten", func() {
+		var open, highest atomic.Int64
+		s := serve(func(_ int, _ string, c net.Conn) bool {
+			highest.Store(max(highest.Load(), open.Add(1)))
+			open.Add(-1)
+			_ = answer(c, "ok")
+			return false
+		})
+		capped := upstream.NewTransport(upstream.Options{Clock: now, MaxConns: func(string) int { return 1 }})
+		done := make(chan struct{})
+		for range 4 {
+			go func() {
+				defer func() { done <- struct{}{} }()
+				for range 200 {
+					a := upstream.Attempt{Address: s.address, Idempotent: true}
+					_ = capped.RoundTrip(ctx, a, request("GET", "/"), &fasthttp.Response{})
+					capped.CloseExpired()
+				}
+			}()
+		}
+		for range 4 {
+			<-done
+		}
+		Expect(highest.Load()).To(BeEquivalentTo(1))
+	})
 })
