admin, hornbeamctl: fleet burn report, audit lines, limits and tests

Cause: hornbeamctl had no burn report; a veto or withdrawal whose append had no known effect was answered with 202, which clients took for a success; a proposal without a base counted as one on version 0, which exists; proposal ids shared the buffer of a request that was over; heads, slow readers and the number of connections had the library's limits. Ruled out: leaving 202 and changing the client only, because other clients of the API would still be misled. Change: hornbeamctl burn asks every listed or alive VM and names those that did not answer; /v1/vms gives the admin addresses; one audit line for each change with author, action, proposal and result, also for refusals; unknown effect of a veto, withdrawal or bootstrap is 504; strict proposals; limits for head, body, connections and time. The parts behind the API are interfaces, so tests use fakes.

--- a/cmd/hornbeamctl/change.go
+++ b/cmd/hornbeamctl/change.go
@@ -14,9 +14,6 @@
 	"github.com/tailscale/hujson"
 )
 
-// watchInterval is the time between two looks at a proposal.
-const watchInterval = 500 * time.Millisecond
-
 // currentBase is the value of --base that stands for the version in force.
 const currentBase = -2
 
@@ -143,7 +140,7 @@
 		case preset.PhaseAccepted, preset.PhaseVetoed, preset.PhaseWithdrawn, preset.PhaseUnknown:
 			return nil
 		}
-		time.Sleep(watchInterval)
+		time.Sleep(s.watchInterval)
 	}
 }
 
--- a/cmd/hornbeamctl/main.go
+++ b/cmd/hornbeamctl/main.go
@@ -4,6 +4,7 @@
 import (
 	"fmt"
 	"os"
+	"time"
 
 	"github.com/alexflint/go-arg"
 
@@ -23,6 +24,7 @@
 	Watch     *watchCommand     `arg:"subcommand:watch" help:"watch a proposal until it is decided"`
 	VMs       *vmsCommand       `arg:"subcommand:vms" help:"show the entry VMs as seen by one of them"`
 	Servers   *serversCommand   `arg:"subcommand:servers" help:"show the backend servers as seen by one entry VM"`
+	Burn      *burnCommand      `arg:"subcommand:burn" help:"show service-level burn over all entry VMs"`
 
 	Address    string `arg:"--address,env:HORNBEAMWAY_ADMIN" default:"127.0.0.1:8083" help:"IP and port of an administration API"`
 	Credential string `arg:"--credential,env:HORNBEAMWAY_CREDENTIAL" help:"credential of the operator or the customer"`
@@ -43,8 +45,13 @@
 type session struct {
 	client *admin.Client
 	out    printer
+	// watchInterval is the time between two looks at a proposal.
+	watchInterval time.Duration
 }
 
+// defaultWatchInterval is short against the shortest veto period in use (10 s).
+const defaultWatchInterval = 500 * time.Millisecond
+
 func main() {
 	var args arguments
 	parser := arg.MustParse(&args)
@@ -52,7 +59,11 @@
 	if !ok {
 		parser.Fail("a subcommand is required")
 	}
-	s := &session{client: admin.NewClient(args.Address, args.Credential), out: printer{w: os.Stdout, json: args.JSON}}
+	s := &session{
+		client:        admin.NewClient(args.Address, args.Credential),
+		out:           printer{w: os.Stdout, json: args.JSON},
+		watchInterval: defaultWatchInterval,
+	}
 	if err := selected.run(s); err != nil {
 		fmt.Fprintln(os.Stderr, "hornbeamctl:", describe(err))
 		os.Exit(1)
--- a/pkg/admin/auth.go
+++ b/pkg/admin/auth.go
@@ -20,7 +20,8 @@
 // roleKey is the key of the Role in the request's locals.
 const roleKey = "role"
 
-// authenticate finds the role by the bearer credential.
+// authenticate finds the role by the bearer credential. Both credentials are always compared, so that the time of the answer
+// does not tell which one was close.
 func (s *Server) authenticate(c fiber.Ctx) error {
 	credential, ok := strings.CutPrefix(c.Get(fiber.HeaderAuthorization), "Bearer ")
 	if !ok {
@@ -39,18 +40,13 @@
 	return c.Next()
 }
 
+func role(c fiber.Ctx) Role {
+	r, _ := c.Locals(roleKey).(Role)
+	return r
+}
+
 // sameSecret compares in a time that does not depend on the contents or the lengths.
 func sameSecret(a, b string) bool {
 	x, y := sha256.Sum256([]byte(a)), sha256.Sum256([]byte(b))
 	return subtle.ConstantTimeCompare(x[:], y[:]) == 1
 }
-
-// requireRole refuses requests of the other role.
-func requireRole(role Role) fiber.Handler {
-	return func(c fiber.Ctx) error {
-		if c.Locals(roleKey) != role {
-			return fiber.NewError(fiber.StatusForbidden, "only the "+string(role)+" may do this")
-		}
-		return c.Next()
-	}
-}
--- a/pkg/admin/change.go
+++ b/pkg/admin/change.go
@@ -1,8 +1,10 @@
 package admin
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -11,70 +13,114 @@
 
 	"github.com/hornbeamway/hornbeamway/pkg/platformlog"
 	"github.com/hornbeamway/hornbeamway/pkg/preset"
+	"github.com/hornbeamway/hornbeamway/pkg/strictjson"
 )
 
 // changeTimeout bounds one change including the wait for its effect.
 const changeTimeout = 15 * time.Second
 
-func (s *Server) bootstrap(c fiber.Ctx) error {
+// record names a change in the audit log. Fields that do not apply are empty.
+type record struct {
+	proposal, object string
+	base             int64
+}
+
+// changeHandler applies a change, answers it and fills the record.
+type changeHandler func(ctx context.Context, c fiber.Ctx, r *record) error
+
+// change returns a handler that lets only one role through and writes one audit line for each request, whatever its result.
+func (s *Server) change(action string, allowed Role, apply changeHandler) fiber.Handler {
+	return func(c fiber.Ctx) error {
+		r := &record{proposal: c.Params("id"), base: preset.NoVersion}
+		err := error(fiber.NewError(fiber.StatusForbidden, "only the "+string(allowed)+" may do this"))
+		if role(c) == allowed {
+			ctx, cancel := context.WithTimeout(context.Background(), changeTimeout)
+			defer cancel()
+			err = apply(ctx, c, r)
+		}
+		s.audit(c, action, r, err)
+		return err
+	}
+}
+
+func (s *Server) audit(c fiber.Ctx, action string, r *record, err error) {
+	result := "done"
+	if err != nil {
+		result = err.Error()
+	} else if c.Response().StatusCode() == fiber.StatusAccepted {
+		result = preset.ErrUndecided.Error()
+	}
+	klog.InfoS("change requested", "vm", s.Members.Self().ID, "author", role(c), "remote", c.RequestCtx().RemoteAddr().String(),
+		"action", action, "proposal", r.proposal, "object", r.object, "base", r.base, "result", result)
+}
+
+func (s *Server) bootstrap(ctx context.Context, c fiber.Ctx, r *record) error {
 	file, err := preset.ParseFile(c.Body())
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), changeTimeout)
-	defer cancel()
-	if err := s.Proposer.Bootstrap(ctx, file, string(Operator)); err != nil {
+	r.object = preset.ObjectActive
+	if err := s.Changer.Bootstrap(ctx, file, string(Operator)); err != nil {
 		return err
 	}
-	klog.InfoS("configuration bootstrapped", "active", file.Active, "presets", len(file.Presets))
 	return c.SendStatus(fiber.StatusNoContent)
 }
 
-func (s *Server) propose(c fiber.Ctx) error {
-	var request ProposeRequest
-	if err := json.Unmarshal(c.Body(), &request); err != nil {
+func (s *Server) propose(ctx context.Context, c fiber.Ctx, r *record) error {
+	request, err := decodeProposal(c.Body())
+	if err != nil {
 		return fiber.NewError(fiber.StatusBadRequest, err.Error())
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), changeTimeout)
-	defer cancel()
-	id, err := s.Proposer.Propose(ctx, preset.Change{
+	r.object, r.base = request.Object, request.Base
+	r.proposal, err = s.Changer.Propose(ctx, preset.Change{
 		Object: request.Object, Base: request.Base, Content: request.Content, Author: string(Operator),
 	})
-	if errors.Is(err, preset.ErrUndecided) {
-		return c.Status(fiber.StatusAccepted).JSON(ProposeAnswer{ID: id, Undecided: true})
+	if errors.Is(err, preset.ErrUndecided) && r.proposal != "" {
+		return c.Status(fiber.StatusAccepted).JSON(ProposeAnswer{ID: r.proposal, Undecided: true})
 	}
 	if err != nil {
 		return err
 	}
-	klog.InfoS("change proposed", "proposal", id, "object", request.Object, "base", request.Base)
-	return c.Status(fiber.StatusCreated).JSON(ProposeAnswer{ID: id})
+	return c.Status(fiber.StatusCreated).JSON(ProposeAnswer{ID: r.proposal})
 }
 
-func (s *Server) veto(c fiber.Ctx) error {
-	ctx, cancel := context.WithTimeout(context.Background(), changeTimeout)
-	defer cancel()
-	return s.decided(c, s.Proposer.Veto(ctx, c.Params("id"), string(Customer)))
+// decodeProposal decodes a ProposeRequest. The base is required: a missing one would pass for version 0, which exists.
+func decodeProposal(body []byte) (*ProposeRequest, error) {
+	var request struct {
+		Object  string          `json:"object"`
+		Base    *int64          `json:"base"`
+		Content json.RawMessage `json:"content"`
+	}
+	if err := strictjson.Decode(body, &request); err != nil {
+		return nil, err
+	}
+	if request.Object == "" || request.Base == nil || len(request.Content) == 0 {
+		return nil, errors.New("object, base and content are required")
+	}
+	return &ProposeRequest{Object: request.Object, Base: *request.Base, Content: request.Content}, nil
 }
 
-func (s *Server) withdraw(c fiber.Ctx) error {
-	ctx, cancel := context.WithTimeout(context.Background(), changeTimeout)
-	defer cancel()
-	return s.decided(c, s.Proposer.Withdraw(ctx, c.Params("id"), string(Operator)))
+func (s *Server) veto(ctx context.Context, c fiber.Ctx, r *record) error {
+	if err := s.Changer.Veto(ctx, r.proposal, string(Customer)); err != nil {
+		return err
+	}
+	return c.SendStatus(fiber.StatusNoContent)
 }
 
-func (s *Server) decided(c fiber.Ctx, err error) error {
-	if err != nil {
+func (s *Server) withdraw(ctx context.Context, c fiber.Ctx, r *record) error {
+	if err := s.Changer.Withdraw(ctx, r.proposal, string(Operator)); err != nil {
 		return err
 	}
 	return c.SendStatus(fiber.StatusNoContent)
 }
 
 func (s *Server) proposals(c fiber.Ctx) error {
-	state, _ := s.Follower.View()
+	state, _ := s.Configuration.View()
 	answer := make([]*preset.Proposal, 0, len(state.Pending))
 	for _, p := range state.Pending {
 		answer = append(answer, p)
 	}
+	slices.SortFunc(answer, func(a, b *preset.Proposal) int { return cmp.Compare(a.Offset, b.Offset) })
 	return c.JSON(answer)
 }
 
@@ -112,7 +158,8 @@
 	case errors.Is(err, preset.ErrNotReady), errors.Is(err, platformlog.ErrUnavailable):
 		status = fiber.StatusServiceUnavailable
 	case errors.Is(err, preset.ErrUndecided):
-		status = fiber.StatusAccepted
+		// Not a success: the customer would take a veto for given that the log may never hold.
+		status = fiber.StatusGatewayTimeout
 	}
 	return c.Status(status).JSON(body)
 }
--- a/pkg/admin/client.go
+++ b/pkg/admin/client.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/hornbeamway/hornbeamway/pkg/burn"
 	"github.com/hornbeamway/hornbeamway/pkg/preset"
 )
 
@@ -33,12 +34,21 @@
 type Client struct {
 	base       string
 	credential string
+	timeout    time.Duration
 	http       fasthttp.Client
 }
 
 // NewClient returns a client of the API at address (IP and port).
 func NewClient(address, credential string) *Client {
-	return &Client{base: "http://" + address, credential: credential, http: fasthttp.Client{MaxIdemponentCallAttempts: 1}}
+	return &Client{
+		base: "http://" + address, credential: credential, timeout: clientTimeout, http: fasthttp.Client{MaxIdemponentCallAttempts: 1},
+	}
+}
+
+// WithTimeout sets the time for one request and returns the client. The default is longer than any change takes.
+func (c *Client) WithTimeout(d time.Duration) *Client {
+	c.timeout = d
+	return c
 }
 
 // Status returns the configuration in force.
@@ -68,6 +78,9 @@
 // Servers returns the backend servers.
 func (c *Client) Servers() ([]BackendServer, error) { return get[[]BackendServer](c, "/v1/servers") }
 
+// Burn returns the burn rates of this VM alone. FleetBurn covers all VMs.
+func (c *Client) Burn() (burn.Report, error) { return get[burn.Report](c, "/v1/burn") }
+
 // Bootstrap sends the first presets, as JSON with comments.
 func (c *Client) Bootstrap(file []byte) error {
 	_, err := call[struct{}](c, fasthttp.MethodPost, "/v1/bootstrap", file)
@@ -83,7 +96,7 @@
 	return call[ProposeAnswer](c, fasthttp.MethodPost, "/v1/proposals", body)
 }
 
-// Veto refuses a proposal for the customer.
+// Veto refuses a proposal for the customer. A nil error means that the veto counts.
 func (c *Client) Veto(id string) error {
 	_, err := call[struct{}](c, fasthttp.MethodPost, "/v1/proposals/"+url.PathEscape(id)+"/veto", nil)
 	return err
@@ -106,7 +119,7 @@
 	req.SetRequestURI(c.base + path)
 	req.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+c.credential)
 	req.SetBody(body)
-	if err := c.http.DoTimeout(req, resp, clientTimeout); err != nil {
+	if err := c.http.DoTimeout(req, resp, c.timeout); err != nil {
 		return answer, errors.Mark(err, ErrUnreachable)
 	}
 	if status := resp.StatusCode(); status >= fasthttp.StatusBadRequest {
--- a/pkg/admin/server.go
+++ b/pkg/admin/server.go
@@ -3,12 +3,14 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 	"github.com/gofiber/fiber/v3"
+	fiberlog "github.com/gofiber/fiber/v3/log"
 
 	"github.com/hornbeamway/hornbeamway/pkg/burn"
 	"github.com/hornbeamway/hornbeamway/pkg/config"
@@ -25,9 +27,15 @@
 const (
 	// bodyLimit is the largest request body in bytes. A preset has at most 256 KiB.
 	bodyLimit = 1 << 20
-	// readTimeout and idleTimeout end slow and unused connections.
-	readTimeout = 10 * time.Second
-	idleTimeout = 60 * time.Second
+	// headLimit is the largest request head in bytes.
+	headLimit = 8 << 10
+	// defaultReadTimeout bounds the time in which a request must arrive.
+	defaultReadTimeout = 10 * time.Second
+	// writeTimeout bounds the time in which an answer must be taken.
+	writeTimeout = 10 * time.Second
+	idleTimeout  = 60 * time.Second
+	// connectionLimit bounds the memory that clients without a credential can hold.
+	connectionLimit = 256
 )
 
 // Members tells which VMs there are.
@@ -42,18 +50,40 @@
 	Runners() map[dispatch.PoolKey]*dispatch.Runner
 }
 
+// Configuration tells what this VM knows of the configuration. *preset.Follower implements it.
+type Configuration interface {
+	InForce() *preset.Effective
+	View() (*preset.State, <-chan struct{})
+	Status() preset.Status
+}
+
+// Changer writes changes to the configuration log. *preset.Proposer implements it; its errors apply.
+type Changer interface {
+	Bootstrap(ctx context.Context, f *preset.File, author string) error
+	Propose(ctx context.Context, c preset.Change) (id string, err error)
+	Veto(ctx context.Context, proposal, author string) error
+	Withdraw(ctx context.Context, proposal, author string) error
+}
+
+// Watcher tells where a proposal stands. *preset.Watcher implements it.
+type Watcher interface {
+	Watch(ctx context.Context, id string) <-chan preset.Progress
+}
+
 // Options are the parts that the API shows and controls.
 type Options struct {
-	Credentials config.Credentials
-	Follower    *preset.Follower
-	Proposer    *preset.Proposer
-	Watcher     *preset.Watcher
-	Members     Members
-	Pools       Pools
+	Credentials   config.Credentials
+	Configuration Configuration
+	Changer       Changer
+	Watcher       Watcher
+	Members       Members
+	Pools         Pools
 	// Ready reports whether this VM admits calls, and why not.
 	Ready func() (ok bool, reason string)
 	// Burn tells the burn rates of the service-level objectives.
 	Burn BurnReporter
+	// ReadTimeout is the time in which a request must arrive. Default 10s.
+	ReadTimeout time.Duration
 }
 
 // BurnReporter tells the burn rates of this VM.
@@ -69,10 +99,19 @@
 
 // New returns a server.
 func New(o Options) *Server {
+	if o.ReadTimeout <= 0 {
+		o.ReadTimeout = defaultReadTimeout
+	}
 	s := &Server{Options: o}
 	s.app = fiber.New(fiber.Config{
-		BodyLimit: bodyLimit, ReadTimeout: readTimeout, IdleTimeout: idleTimeout, ErrorHandler: answerError,
+		BodyLimit: bodyLimit, ReadBufferSize: headLimit, Concurrency: connectionLimit,
+		ReadTimeout: o.ReadTimeout, WriteTimeout: writeTimeout, IdleTimeout: idleTimeout,
+		ErrorHandler: answerError,
+		// Watcher keeps the proposal's id beyond the request, so strings must not share the request's buffer.
+		Immutable: true,
 	})
+	// The library would write lines of its own for requests that anybody can send.
+	fiberlog.SetOutput(io.Discard)
 	s.routes()
 	return s
 }
@@ -91,10 +130,10 @@
 	v1.Get("/vms", s.vms)
 	v1.Get("/servers", s.servers)
 	v1.Get("/burn", func(c fiber.Ctx) error { return c.JSON(s.Burn.Report()) })
-	v1.Post("/bootstrap", requireRole(Operator), s.bootstrap)
-	v1.Post("/proposals", requireRole(Operator), s.propose)
-	v1.Post("/proposals/:id/withdraw", requireRole(Operator), s.withdraw)
-	v1.Post("/proposals/:id/veto", requireRole(Customer), s.veto)
+	v1.Post("/bootstrap", s.change("bootstrap", Operator, s.bootstrap))
+	v1.Post("/proposals", s.change("propose", Operator, s.propose))
+	v1.Post("/proposals/:id/withdraw", s.change("withdraw", Operator, s.withdraw))
+	v1.Post("/proposals/:id/veto", s.change("veto", Customer, s.veto))
 }
 
 // Serve serves the API on l until Close. It returns nil after Close.
--- a/pkg/admin/types.go
+++ b/pkg/admin/types.go
@@ -54,16 +54,19 @@
 
 // VM is an entry VM as this VM sees it.
 type VM struct {
-	ID            string `json:"id"`
-	Region        string `json:"region"`
-	DataCentre    string `json:"dataCentre"`
+	ID         string `json:"id"`
+	Region     string `json:"region"`
+	DataCentre string `json:"dataCentre"`
+	// Admin is the address of the VM's administration API.
+	Admin string `json:"admin"`
+	// State is the state of membership, or "unknown" for a VM that has never been heard of.
 	State         string `json:"state"`
 	PresetVersion int64  `json:"presetVersion"`
 	// Listed is the state in the platform's list; empty if the VM is not on it.
 	Listed string `json:"listed"`
 }
 
-// Server is a backend server as this VM sees it.
+// BackendServer is a backend server as this VM sees it.
 type BackendServer struct {
 	ID         string `json:"id"`
 	Service    string `json:"service"`
--- a/pkg/admin/view.go
+++ b/pkg/admin/view.go
@@ -12,13 +12,13 @@
 )
 
 func (s *Server) status(c fiber.Ctx) error {
-	state, _ := s.Follower.View()
-	follower := s.Follower.Status()
+	state, _ := s.Configuration.View()
+	known := s.Configuration.Status()
 	answer := Status{
 		VM: s.Members.Self().ID, Active: state.Active, Version: state.Version, ActiveVersion: state.ActiveVersion,
-		Reason: string(follower.Reason), LogAge: follower.LogAge,
+		Reason: string(known.Reason), LogAge: known.LogAge,
 	}
-	if e := s.Follower.InForce(); e != nil {
+	if e := s.Configuration.InForce(); e != nil {
 		answer.Since = e.Since
 	}
 	listed := lo.SliceToMap(s.Members.Listed(), func(v vmlist.VM) (string, bool) { return v.ID, true })
@@ -31,7 +31,7 @@
 }
 
 func (s *Server) presets(c fiber.Ctx) error {
-	state, _ := s.Follower.View()
+	state, _ := s.Configuration.View()
 	answer := make([]Preset, 0, len(state.Presets))
 	for name, v := range state.Presets {
 		answer = append(answer, Preset{Name: name, Version: v.Version, InForce: name == state.Active})
@@ -41,7 +41,7 @@
 }
 
 func (s *Server) preset(c fiber.Ctx) error {
-	state, _ := s.Follower.View()
+	state, _ := s.Configuration.View()
 	name := c.Params("name")
 	v, ok := state.Presets[name]
 	if !ok {
@@ -50,15 +50,21 @@
 	return c.JSON(Preset{Name: name, Version: v.Version, InForce: name == state.Active, Content: v.Content})
 }
 
+// stateUnknown is the state of a listed VM whose heartbeats never arrived.
+const stateUnknown = "unknown"
+
 func (s *Server) vms(c fiber.Ctx) error {
 	vms := map[string]VM{}
 	for _, v := range s.Members.Listed() {
-		vms[v.ID] = VM{ID: v.ID, Region: v.Region, DataCentre: v.DataCentre, State: "unknown", Listed: string(v.State)}
+		vms[v.ID] = VM{
+			ID: v.ID, Region: v.Region, DataCentre: v.DataCentre, Admin: v.Admin, State: stateUnknown, Listed: string(v.State),
+		}
 	}
 	for _, m := range s.Members.Members() {
+		listed := vms[m.ID]
 		vms[m.ID] = VM{
-			ID: m.ID, Region: m.Region, DataCentre: m.DataCentre, State: m.State.String(),
-			PresetVersion: m.PresetVersion, Listed: vms[m.ID].Listed,
+			ID: m.ID, Region: m.Region, DataCentre: m.DataCentre, Admin: lo.CoalesceOrEmpty(m.Admin, listed.Admin),
+			State: m.State.String(), PresetVersion: m.PresetVersion, Listed: listed.Listed,
 		}
 	}
 	answer := lo.Values(vms)
--- a/pkg/server/providers.go
+++ b/pkg/server/providers.go
@@ -204,14 +204,14 @@
 	settings := do.MustInvoke[*config.Settings](i)
 	follower, options := do.MustInvoke[*preset.Follower](i), do.MustInvoke[preset.Options](i)
 	return admin.New(admin.Options{
-		Credentials: settings.Credentials,
-		Follower:    follower,
-		Proposer:    preset.NewProposer(options.Log, options.Clock, follower),
-		Watcher:     preset.NewWatcher(options, follower),
-		Members:     do.MustInvoke[*membership.Service](i),
-		Pools:       do.MustInvoke[*dispatch.Registry](i),
-		Ready:       do.MustInvoke[*proxy.Proxy](i).Ready,
-		Burn:        do.MustInvoke[*burn.Tracker](i),
+		Credentials:   settings.Credentials,
+		Configuration: follower,
+		Changer:       preset.NewProposer(options.Log, options.Clock, follower),
+		Watcher:       preset.NewWatcher(options, follower),
+		Members:       do.MustInvoke[*membership.Service](i),
+		Pools:         do.MustInvoke[*dispatch.Registry](i),
+		Ready:         do.MustInvoke[*proxy.Proxy](i).Ready,
+		Burn:          do.MustInvoke[*burn.Tracker](i),
 	}), nil
 }
 
