--- a/cmd/hornbeamctl/main.go
+++ b/cmd/hornbeamctl/main.go
@@ -8,6 +8,7 @@
 
 	"github.com/alexflint/go-arg"
 
+	"github.com/hornbeamway/hornbeamway/internal/buildinfo"
 	"github.com/hornbeamway/hornbeamway/pkg/admin"
 )
 
@@ -36,6 +37,9 @@
 	return "Shows and changes the configuration of hornbeamway through the administration API of an entry VM."
 }
 
+// Version implements arg.Versioned.
+func (arguments) Version() string { return buildinfo.Line("hornbeamctl") }
+
 // command is a subcommand.
 type command interface {
 	run(*session) error
--- a/pkg/config/settings.go
+++ b/pkg/config/settings.go
@@ -3,9 +3,8 @@
 package config
 
 import (
-	"fmt"
-	"net"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -16,28 +15,25 @@
 // ErrInvalid reports settings that cannot be used. The message names the place and the reason.
 var ErrInvalid = errors.New("invalid settings")
 
-// minSecretLength is the least length in bytes of a credential or key.
-const minSecretLength = 16
-
 // Settings are the static settings of an entry VM.
 type Settings struct {
-	// ID names this VM in the platform's VM list.
+	// ID names this VM in the platform's VM list: letters, digits, dots, hyphens and underscores.
 	ID string `json:"id"`
-	// Region and DataCentre are the place of this VM.
+	// Region and DataCentre are the place of this VM: lower-case letters, digits and hyphens.
 	Region     string `json:"region"`
 	DataCentre string `json:"dataCentre"`
 	// Addresses are the listen addresses.
 	Addresses Addresses `json:"addresses"`
-	// LogService and VMList are the addresses of the platform's services.
+	// LogService and VMList are the addresses (IP and port) of the platform's services.
 	LogService string `json:"logService"`
 	VMList     string `json:"vmList"`
-	// Seeds are peer addresses used until the VM list answers.
+	// Seeds are peer addresses (IP and port) of other entry VMs, used until the VM list answers.
 	Seeds []string `json:"seeds,omitempty"`
 	// Credentials authenticate operators, the customer and other entry VMs.
 	Credentials Credentials `json:"credentials"`
 	// Limits bound what one caller may use.
 	Limits Limits `json:"limits"`
-	// DrainNotice is the time from the stop signal to the end of accepting calls. Default 10s.
+	// DrainNotice is the time from the stop signal to the end of accepting calls, 100ms to 10m. Default 10s.
 	DrainNotice unit.Duration `json:"drainNotice,omitempty"`
 	// LogLevel is the klog verbosity, 0 to 4. Default 0.
 	LogLevel int `json:"logLevel,omitempty"`
@@ -55,7 +51,7 @@
 	Admin string `json:"admin"`
 }
 
-// Credentials are shared secrets of at least 16 bytes.
+// Credentials are shared secrets, all different, of 16 to 256 visible ASCII characters.
 type Credentials struct {
 	// Operator may propose changes; Customer may veto them.
 	Operator string `json:"operator"`
@@ -64,17 +60,18 @@
 	Peer string `json:"peer"`
 }
 
-// Limits bound what one caller may use.
+// Limits bound what one caller may use. A zero stands for the default.
 type Limits struct {
-	// HeaderSize is the largest request head. Default 16KiB.
+	// HeaderSize is the largest request head, 1KiB to 1MiB. Default 16KiB.
 	HeaderSize unit.Size `json:"headerSize,omitempty"`
-	// Connections is the largest number of open connections of all callers together. Default 20000.
+	// Connections is the largest number of open connections of all callers together, 1 to 1000000. Default 20000.
 	Connections int `json:"connections,omitempty"`
-	// ConnectionsPerCaller is the largest number of open connections of one caller address. Default 1000.
+	// ConnectionsPerCaller is the largest number of open connections of one caller address, at most
+	// Connections. Default 1000, or Connections if that is less.
 	ConnectionsPerCaller int `json:"connectionsPerCaller,omitempty"`
-	// HeaderTimeout is the time for a caller to send the request head. Default 10s.
+	// HeaderTimeout is the time for a caller to send the request head, 100ms to 5m. Default 10s.
 	HeaderTimeout unit.Duration `json:"headerTimeout,omitempty"`
-	// BodyIdleTimeout is the longest pause between two parts of a request body. Default 30s.
+	// BodyIdleTimeout is the longest pause between two parts of a request body, 100ms to 10m. Default 30s.
 	BodyIdleTimeout unit.Duration `json:"bodyIdleTimeout,omitempty"`
 }
 
@@ -108,8 +105,9 @@
 		return nil, errors.Mark(err, ErrInvalid)
 	}
 	s.setDefaults()
-	if fault := s.firstFault(); fault != nil {
-		return nil, errors.Mark(strictjson.At(data, fault.key, fmt.Sprintf("%s: %s", fault.key, fault.reason)), ErrInvalid)
+	if f := s.firstFault(); f != nil {
+		reason := strings.Join(f.path, ".") + ": " + f.reason
+		return nil, errors.Mark(strictjson.AtPath(data, reason, f.path...), ErrInvalid)
 	}
 	return s, nil
 }
@@ -118,7 +116,7 @@
 	setDefault(&s.DrainNotice, unit.Duration(defaultDrainNotice))
 	setDefault(&s.Limits.HeaderSize, defaultHeaderSize)
 	setDefault(&s.Limits.Connections, defaultConnections)
-	setDefault(&s.Limits.ConnectionsPerCaller, defaultConnectionsPerCaller)
+	setDefault(&s.Limits.ConnectionsPerCaller, min(defaultConnectionsPerCaller, s.Limits.Connections))
 	setDefault(&s.Limits.HeaderTimeout, unit.Duration(defaultHeaderTimeout))
 	setDefault(&s.Limits.BodyIdleTimeout, unit.Duration(defaultBodyIdleTimeout))
 }
@@ -129,57 +127,3 @@
 		*field = value
 	}
 }
-
-type fault struct{ key, reason string }
-
-func (s *Settings) firstFault() *fault {
-	for _, required := range []struct{ key, value string }{
-		{"id", s.ID}, {"region", s.Region}, {"dataCentre", s.DataCentre},
-	} {
-		if required.value == "" {
-			return &fault{required.key, "must not be empty"}
-		}
-	}
-	if f := s.addressFault(); f != nil {
-		return f
-	}
-	if f := s.credentialFault(); f != nil {
-		return f
-	}
-	if s.Limits.Connections < 0 || s.Limits.ConnectionsPerCaller < 0 {
-		return &fault{"limits", "connection limits must not be negative"}
-	}
-	return nil
-}
-
-func (s *Settings) addressFault() *fault {
-	seen := map[string]string{}
-	for _, a := range []struct{ key, value string }{
-		{"callers", s.Addresses.Callers}, {"forward", s.Addresses.Forward},
-		{"peer", s.Addresses.Peer}, {"admin", s.Addresses.Admin},
-		{"logService", s.LogService}, {"vmList", s.VMList},
-	} {
-		host, _, err := net.SplitHostPort(a.value)
-		if err != nil || net.ParseIP(host) == nil {
-			return &fault{a.key, fmt.Sprintf("%q is not an IP address and port", a.value)}
-		}
-		if other, taken := seen[a.value]; taken {
-			return &fault{a.key, fmt.Sprintf("same address as %s", other)}
-		}
-		seen[a.value] = a.key
-	}
-	return nil
-}
-
-func (s *Settings) credentialFault() *fault {
-	c := s.Credentials
-	for _, secret := range []struct{ key, value string }{{"operator", c.Operator}, {"customer", c.Customer}, {"peer", c.Peer}} {
-		if len(secret.value) < minSecretLength {
-			return &fault{secret.key, fmt.Sprintf("must have at least %d bytes", minSecretLength)}
-		}
-	}
-	if c.Operator == c.Customer {
-		return &fault{"customer", "must differ from the operator's credential"}
-	}
-	return nil
-}
--- a/pkg/strictjson/decode.go
+++ b/pkg/strictjson/decode.go
@@ -50,13 +50,23 @@
 	return nil
 }
 
-// At returns an error at the first key named name, or without a position when there is none.
-func At(data []byte, name, reason string) error {
+// AtPath returns an error at the value that a path of keys and array indices leads to. Where the path ends early, as for a
+// key that is missing, it is at the value reached.
+func AtPath(data []byte, reason string, path ...string) error {
 	root, err := hujson.Parse(data)
 	if err != nil {
 		return &Error{Reason: reason}
 	}
-	return errorAt(data, findKey(&root, name), reason)
+	found, pointer := &root, ""
+	for _, key := range path {
+		pointer += "/" + key
+		next := root.Find(pointer)
+		if next == nil {
+			break
+		}
+		found = next
+	}
+	return errorAt(data, found, reason)
 }
 
 func checkDuplicateKeys(data []byte, root *hujson.Value) error {
--- a/pkg/strictjson/decode_test.go
+++ b/pkg/strictjson/decode_test.go
@@ -52,3 +52,15 @@
 	Expect(d.Body).To(BeEquivalentTo(65536))
 	Expect(d.Rate.BytesPerSecond()).To(BeNumerically("==", 3.75e6))
 })
+
+// Guards against a fault that is reported at another key of the same name.
+var _ = DescribeTable("finds a value by its path", func(want string, path ...string) {
+	text := "{\"name\": 1,\n \"inner\": {\n\"name\": [1,\n2]}}"
+	Expect(strictjson.AtPath([]byte(text), "bad", path...)).To(MatchError(want))
+},
+	Entry("top", "line 1, column 10: bad", "name"),
+	Entry("inner", "line 3, column 9: bad", "inner", "name"),
+	Entry("array element", "line 4, column 1: bad", "inner", "name", "1"),
+	Entry("missing key", "line 2, column 11: bad", "inner", "other"),
+	Entry("document", "line 1, column 1: bad", "other"),
+)
