--- a/pkg/admin/admin_test.go
+++ b/pkg/admin/admin_test.go
@@ -106,7 +106,7 @@
 	status, _ = send("POST", address, "/v1/proposals/p1/withdraw", operator, "")
 	Expect(status).To(Equal(refuse))
 },
-	Entry("stale base", &preset.ConflictError{Object: "active", Reason: "stale", InForce: 7}, 409, 409, `"inForce":7`),
+	Entry("stale base", &preset.ConflictError{Object: "active", Reason: "stale", InForce: 7}, 409, 409, `"conflict on active: stale","inForce":7`),
 	Entry("decided", &preset.DecidedError{Proposal: "p1", Kind: preset.Accepted}, 409, 409, `already accepted`),
 	Entry("no proposal", preset.ErrNoProposal, 404, 404, `no such proposal`),
 	Entry("invalid content", preset.ErrInvalidContent, 422, 422, `invalid`),
--- a/pkg/admin/change.go
+++ b/pkg/admin/change.go
@@ -149,6 +149,7 @@
 		status = fiberError.Code
 	case errors.As(err, &conflict):
 		status, body.InForce = fiber.StatusConflict, &conflict.InForce
+		body.Error = "conflict on " + conflict.Object + ": " + conflict.Reason
 	case errors.As(err, &decided):
 		status = fiber.StatusConflict
 	case errors.Is(err, preset.ErrInvalidContent):
--- a/pkg/server/server.go
+++ b/pkg/server/server.go
@@ -34,7 +34,8 @@
 )
 
 // Run serves as an entry VM until ctx ends, then drains: it fails health checks, serves for the drain notice, hands its
-// operations over, finishes the calls in flight and returns nil.
+// operations over, finishes the calls in flight and returns nil. When a listener fails, it drains as well and returns the
+// error. Errors: ErrListen, ErrWiring and those of the listeners.
 func Run(ctx context.Context, settings *config.Settings) error {
 	vm, err := newVM(settings)
 	if err != nil {
@@ -48,6 +49,7 @@
 	callers, forward, peer, admin net.Listener
 }
 
+// listen opens all sockets or none.
 func listen(a config.Addresses) (*listeners, error) {
 	l := &listeners{}
 	for _, target := range []struct {
@@ -56,6 +58,7 @@
 	}{{&l.callers, a.Callers}, {&l.forward, a.Forward}, {&l.peer, a.Peer}, {&l.admin, a.Admin}} {
 		listener, err := net.Listen("tcp", target.address)
 		if err != nil {
+			l.close()
 			return nil, errors.Mark(errors.Wrapf(err, "%s", target.address), ErrListen)
 		}
 		*target.listener = listener
@@ -63,6 +66,15 @@
 	return l, nil
 }
 
+// close closes the listeners that are open. It is for a start that fails; the servers close their own later.
+func (l *listeners) close() {
+	for _, listener := range []net.Listener{l.callers, l.forward, l.peer, l.admin} {
+		if listener != nil {
+			_ = listener.Close()
+		}
+	}
+}
+
 // vm is a running entry VM.
 type vm struct {
 	settings   *config.Settings
@@ -113,6 +125,8 @@
 	var err error
 	select {
 	case err = <-failed:
+		klog.ErrorS(err, "listener failed; stopping", "vm", v.settings.ID)
+		err = errors.CombineErrors(err, v.drain())
 	case <-ctx.Done():
 		err = v.drain()
 	}
@@ -127,9 +141,9 @@
 // handoverTimeout bounds the handover of operations at a planned stop.
 const handoverTimeout = 10 * time.Second
 
-// drain stops without cutting off a call.
+// drain stops without cutting off a call. It has no time limit: a long download in flight finishes.
 func (v *vm) drain() error {
-	klog.InfoS("draining", "vm", v.settings.ID, "notice", v.settings.DrainNotice.Std())
+	klog.InfoS("entry VM is draining", "vm", v.settings.ID, "notice", v.settings.DrainNotice.Std())
 	v.members.Leave()
 	v.proxy.Drain()
 	<-v.clock.After(v.settings.DrainNotice.Std())
