--- a/pkg/strictjson/decode.go
+++ b/pkg/strictjson/decode.go
@@ -42,16 +42,22 @@
 	return nil
 }
 
-// At returns an error at the first key named name, or without a position when there is none.
-func At(data []byte, name, reason string) error {
+// AtPath returns an error at the value that the keys of path lead to, or at the deepest one that exists.
+func AtPath(data []byte, reason string, path ...string) error {
 	root, err := hujson.Parse(data)
 	if err != nil {
 		return &Error{Reason: reason}
 	}
-	if key := findKey(&root, name); key != nil {
-		return errorAt(data, key.StartOffset, reason)
+	found, pointer := &root, ""
+	for _, key := range path {
+		pointer += "/" + key
+		next := root.Find(pointer)
+		if next == nil {
+			break
+		}
+		found = next
 	}
-	return &Error{Reason: reason}
+	return errorAt(data, found.StartOffset, reason)
 }
 
 // locate turns an error of the decoder into an *Error with a position.
@@ -119,22 +125,6 @@
 	return root.Find(string(pointer))
 }
 
-// findKey returns the first key with the given name anywhere in the document.
-func findKey(root *hujson.Value, name string) *hujson.Value {
-	for v := range root.All() {
-		object, ok := v.Value.(*hujson.Object)
-		if !ok {
-			continue
-		}
-		for i := range object.Members {
-			if keyText(&object.Members[i].Name) == name {
-				return &object.Members[i].Name
-			}
-		}
-	}
-	return nil
-}
-
 func keyText(name *hujson.Value) string {
 	if literal, ok := name.Value.(hujson.Literal); ok {
 		return literal.String()
