--- a/cmd/hornbeamlab/main.go
+++ b/cmd/hornbeamlab/main.go
@@ -15,6 +15,8 @@
 type arguments struct {
 	Demo *demoCommand `arg:"subcommand:demo" help:"two regions on loopback, traffic of all classes, changes of the preset and a drain; a report"`
 	Load *loadCommand `arg:"subcommand:load" help:"load a running system"`
+
+	Chaos *chaosCommand `arg:"subcommand:chaos" help:"faults under load; exits 1 when a promise was broken"`
 }
 
 // Description implements arg.Described.
@@ -33,6 +35,8 @@
 		err = args.Demo.run(ctx)
 	case args.Load != nil:
 		err = args.Load.run(ctx)
+	case args.Chaos != nil:
+		err = args.Chaos.run(ctx)
 	default:
 		parser.Fail("a subcommand is required")
 	}
--- a/internal/lab/cluster/standin.go
+++ b/internal/lab/cluster/standin.go
@@ -26,6 +26,17 @@
 	return err
 }
 
+// NextOffset returns the offset of the next record of a stream of the log service.
+func (c *Cluster) NextOffset(stream string) (int64, error) {
+	type info struct {
+		Next int64 `json:"next"`
+	}
+	answer, err := getJSON[struct {
+		Streams map[string]info `json:"streams"`
+	}](c.Log.control + "/streams")
+	return answer.Streams[stream].Next, err
+}
+
 // Server is a backend server.
 type Server struct {
 	Standin
