chaos: judge the exit code of a planned stop after its end

The check waited with a context that had ended already, so that the choice between the two was random.

--- a/internal/lab/chaos/faults.go
+++ b/internal/lab/chaos/faults.go
@@ -117,9 +117,9 @@
 	r.mu.Lock()
 	r.stops = append(r.stops, stop)
 	r.mu.Unlock()
-	ended, cancel := context.WithCancel(ctx)
-	cancel()
-	if exit := process.Wait(ended); exit != nil {
+	if process.Running() {
+		r.breach(kindStop, "%s was asked to stop at %s and had not ended at %s", vm.ID, r.stamp(stop.from), r.stamp(stop.till))
+	} else if exit := process.Wait(ctx); exit != nil && ctx.Err() == nil {
 		r.breach(kindStop, "%s was asked to stop at %s and did not end with exit code 0: %v", vm.ID, r.stamp(stop.from), exit)
 	}
 	if fresh != nil {
