--- a/pkg/preset/fault_test.go
+++ b/pkg/preset/fault_test.go
@@ -271,6 +271,14 @@
 		c.until("the late acceptance changes nothing", func() bool { return c.count(preset.KindAccept) == 3 })
 		c.until("all agree", c.allHave(30))
 	}),
+	Entry("every step: the log is slow", func(c *cluster, a, _, e *node) {
+		c.log.SetDelay(1500 * time.Millisecond)
+		_, err := c.propose(a, 20)
+		Expect(err).NotTo(HaveOccurred())
+		c.until("acceptance", c.allHave(20))
+		Expect(c.serving()).To(BeTrue(), "serving goes on")
+		Expect(e.follower.InForce().Content.EntryVMs).To(Equal(20))
+	}),
 	Entry("resume: the records have expired and peers know", func(c *cluster, a, _, e *node) {
 		c.pause(e)
 		c.list("a", "b")
@@ -386,3 +394,23 @@
 		Expect((<-a.watcher.Watch(c.ctx, "nosuch")).Phase).To(Equal(preset.PhaseUnknown))
 	})
 })
+
+// Guards against a VM that stops admitting while the log answers: the answer to a long poll proves only what was true when
+// the poll was sent. A listed VM that does not answer keeps the others from asking each other.
+var _ = It("stays out of doubt during a confirm round while the log answers and a listed VM does not", func() {
+	bubble(func(ctx context.Context) {
+		c, a, b, e := bootstrapped(ctx)
+		c.list("a", "b", "e", "silent")
+		id, err := c.propose(a, 20)
+		Expect(err).NotTo(HaveOccurred())
+		c.until("the proposal is read", func() bool { return b.follower.Status().Position >= 1 && e.follower.Status().Position >= 1 })
+		for _, n := range []*node{a, b, e} {
+			s, _ := n.follower.View()
+			Expect(n.follower.HandleConfirm(preset.ConfirmRequest{Proposal: id, Offset: s.Pending[id].Offset}).Confirmed).To(BeTrue())
+		}
+		for range 200 {
+			c.step()
+			Expect(c.serving()).To(BeTrue())
+		}
+	})
+})
--- a/pkg/preset/follower.go
+++ b/pkg/preset/follower.go
@@ -149,11 +149,11 @@
 func (f *Follower) readOnce(ctx context.Context) error {
 	f.mu.Lock()
 	from, wait, sent := f.reader.next(), pollWait, f.gate.boot()
-	if f.bound() {
-		wait = boundWait
-	}
-	if f.paused || !f.atEnd {
+	switch {
+	case f.paused || !f.atEnd:
 		wait = 0 // the answer is needed at once, also when there is nothing new
+	case f.bound():
+		wait = boundWait
 	}
 	f.mu.Unlock()
 	batch, err := f.log.Read(ctx, Stream, from, wait)
