--- a/pkg/admin/admin_test.go
+++ b/pkg/admin/admin_test.go
@@ -101,7 +101,7 @@
 	status, body := send("POST", address, "/v1/proposals", operator, proposal)
 	Expect(status).To(Equal(propose))
 	Expect(body).To(MatchRegexp(message))
-	status, body = send("POST", address, "/v1/proposals/p1/veto", customer, "")
+	status, _ = send("POST", address, "/v1/proposals/p1/veto", customer, "")
 	Expect(status).To(Equal(refuse))
 	status, _ = send("POST", address, "/v1/proposals/p1/withdraw", operator, "")
 	Expect(status).To(Equal(refuse))
