traffic: count the bytes of control by part; lab: add bench control

Change: pkg/traffic counts payload and the kernel's segments of the connections of one part. The log client has one HTTP client per stream and use, and the VM list client one, so that each part's headers are its own. pkg/peer counts the payload of each method and all headers. The metric is hornbeamway_control_bytes_total{part,direction}.

--- a/cmd/hornbeamlab/main.go
+++ b/cmd/hornbeamlab/main.go
@@ -13,8 +13,9 @@
 )
 
 type arguments struct {
-	Demo *demoCommand `arg:"subcommand:demo" help:"two regions on loopback, traffic of all classes, changes of the preset and a drain; a report"`
-	Load *loadCommand `arg:"subcommand:load" help:"load a running system"`
+	Demo  *demoCommand  `arg:"subcommand:demo" help:"two regions on loopback, traffic of all classes, changes of the preset and a drain; a report"`
+	Load  *loadCommand  `arg:"subcommand:load" help:"load a running system"`
+	Bench *benchCommand `arg:"subcommand:bench" help:"measure"`
 }
 
 // Description implements arg.Described.
@@ -33,6 +34,8 @@
 		err = args.Demo.run(ctx)
 	case args.Load != nil:
 		err = args.Load.run(ctx)
+	case args.Bench != nil && args.Bench.Control != nil:
+		err = args.Bench.run(ctx)
 	default:
 		parser.Fail("a subcommand is required")
 	}
--- a/internal/lab/cluster/cluster.go
+++ b/internal/lab/cluster/cluster.go
@@ -306,3 +306,17 @@
 
 // Deployment returns the name of the topology.
 func (c *Cluster) Deployment() string { return c.options.Topology.Name }
+
+// Appended returns the number of appends to all streams since the log service started.
+func (c *Cluster) Appended() (int64, error) {
+	answer, err := getJSON[struct {
+		Streams map[string]struct {
+			Appended int64 `json:"appended"`
+		} `json:"streams"`
+	}](c.Log.Address + "/streams")
+	sum := int64(0)
+	for _, s := range answer.Streams {
+		sum += s.Appended
+	}
+	return sum, err
+}
--- a/pkg/peer/frame.go
+++ b/pkg/peer/frame.go
@@ -41,6 +41,7 @@
 		return err
 	}
 	_, err = w.Write(data)
+	count(data, "sent")
 	return err
 }
 
@@ -57,6 +58,7 @@
 	if _, err := io.ReadFull(r, data); err != nil {
 		return err
 	}
+	count(data, "received")
 	if err := json.Unmarshal(data, v); err != nil {
 		return fmt.Errorf("%w: %w", ErrFrame, err)
 	}
--- a/pkg/platformlog/client.go
+++ b/pkg/platformlog/client.go
@@ -6,10 +6,13 @@
 	"fmt"
 	"net"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
+
+	"github.com/hornbeamway/hornbeamway/pkg/traffic"
 )
 
 // Defaults of the client.
@@ -23,21 +26,31 @@
 // Client speaks the HTTP protocol of the log service. It implements Log.
 type Client struct {
 	base    string
-	http    *fasthttp.Client
 	timeout time.Duration
+	mu      sync.Mutex
+	clients map[string]*fasthttp.Client
 }
 
 // NewClient returns a client of the service at address, an IP and port.
 func NewClient(address string) *Client {
-	return &Client{
-		base: "http://" + address,
-		http: &fasthttp.Client{
+	return &Client{base: "http://" + address, timeout: defaultTimeout, clients: map[string]*fasthttp.Client{}}
+}
+
+// client returns the HTTP client of one use of one stream. Each has its own connections, so that its bytes are counted
+// apart as the part log.STREAM.USE of the control traffic.
+func (c *Client) client(stream, use string) *fasthttp.Client {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	part := "log." + stream + "." + use
+	if c.clients[part] == nil {
+		c.clients[part] = &fasthttp.Client{
+			Dial:                      traffic.Of(part).Dial,
 			MaxIdemponentCallAttempts: 1,
 			RetryIfErr:                neverRetry,
 			MaxIdleConnDuration:       10 * time.Second,
-		},
-		timeout: defaultTimeout,
+		}
 	}
+	return c.clients[part]
 }
 
 // neverRetry stops the library from sending an append twice.
@@ -60,7 +73,7 @@
 	req.SetRequestURI(c.base + "/streams/" + stream + "/records")
 	req.Header.SetContentType("application/json")
 	req.SetBodyRaw(body)
-	if err := c.http.DoDeadline(req, resp, c.deadline(ctx, 0)); err != nil {
+	if err := c.client(stream, "append").DoDeadline(req, resp, c.deadline(ctx, 0)); err != nil {
 		return 0, classifyAppendError(err)
 	}
 	return decodeAppend(resp)
@@ -96,7 +109,7 @@
 	defer fasthttp.ReleaseResponse(resp)
 	req.SetRequestURI(fmt.Sprintf("%s/streams/%s/records?from=%s&limit=%d&waitMs=%d",
 		c.base, stream, strconv.FormatInt(from, 10), readLimit, wait.Milliseconds()))
-	if err := c.http.DoDeadline(req, resp, c.deadline(ctx, wait)); err != nil {
+	if err := c.client(stream, "read").DoDeadline(req, resp, c.deadline(ctx, wait)); err != nil {
 		return Batch{}, errors.Wrapf(ErrUnavailable, "%v", err)
 	}
 	if resp.StatusCode() != fasthttp.StatusOK {
--- a/pkg/server/providers.go
+++ b/pkg/server/providers.go
@@ -92,6 +92,7 @@
 		OnHeartbeat: links.heard,
 	})
 	members.Register(do.MustInvoke[*peer.Server](i))
+	peer.CountHeaders(do.MustInvoke[*peer.Server](i), do.MustInvoke[*peer.Pool](i))
 	return members, nil
 }
 
--- /dev/null
+++ b/pkg/traffic/traffic.go
@@ -0,0 +1,139 @@
+// Package traffic counts the bytes that a VM spends for control, with TCP and IP headers. Each part of the control traffic
+// has its own connections, so that the kernel's segment counts can be attributed to it.
+package traffic
+
+import (
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// SegmentHeader is the size in bytes of the IPv4 and TCP headers with the timestamp option.
+	SegmentHeader = 20 + 20 + 12
+	// dialTimeout bounds connecting.
+	dialTimeout = 2 * time.Second
+)
+
+// Gauge registers a value of hornbeamway_control_bytes_total. Direction is sent or received. A second registration of
+// the same part and direction changes nothing.
+func Gauge(part, direction string, value func() uint64) {
+	metrics.GetOrCreateGauge(name(part, direction), func() float64 { return float64(value()) })
+}
+
+// Counter returns the counter of a part's bytes in one direction.
+func Counter(part, direction string) *metrics.Counter {
+	return metrics.GetOrCreateCounter(name(part, direction))
+}
+
+func name(part, direction string) string {
+	return `hornbeamway_control_bytes_total{part="` + part + `",direction="` + direction + `"}`
+}
+
+// Meter counts the bytes of the connections of one part.
+type Meter struct {
+	mu             sync.Mutex
+	open           map[*conn]struct{}
+	sent, received uint64 // of closed connections
+}
+
+// meters holds the meter of each part, because several clients may serve one part.
+var meters sync.Map
+
+// Of returns the meter of a part, which the metrics show from then on.
+func Of(part string) *Meter {
+	found, loaded := meters.LoadOrStore(part, &Meter{open: map[*conn]struct{}{}})
+	m := found.(*Meter)
+	if !loaded {
+		Gauge(part, "sent", func() uint64 { sent, _ := m.Bytes(); return sent })
+		Gauge(part, "received", func() uint64 { _, received := m.Bytes(); return received })
+	}
+	return m
+}
+
+// Bytes returns the bytes sent and received so far, with headers.
+func (m *Meter) Bytes() (sent, received uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	sent, received = m.sent, m.received
+	for c := range m.open {
+		s, r := c.bytes()
+		sent, received = sent+s, received+r
+	}
+	return sent, received
+}
+
+// Dial connects to an IP and port and counts the connection. It is a fasthttp.DialFunc. TCP keep-alive is off: silent
+// connections are found by the timeouts of the requests.
+func (m *Meter) Dial(address string) (net.Conn, error) {
+	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
+	raw, err := d.Dial("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	c := &conn{TCPConn: raw.(*net.TCPConn), meter: m}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.open[c] = struct{}{}
+	return c, nil
+}
+
+var _ fasthttp.DialFunc = (*Meter)(nil).Dial
+
+// conn is a connection with byte counters.
+type conn struct {
+	*net.TCPConn
+	meter          *Meter
+	sent, received atomic.Uint64
+	closeOnce      sync.Once
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	c.received.Add(uint64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(p []byte) (int, error) {
+	n, err := c.TCPConn.Write(p)
+	c.sent.Add(uint64(n))
+	return n, err
+}
+
+// Close implements net.Conn and moves the counters to the meter's sums.
+func (c *conn) Close() error {
+	err := net.ErrClosed
+	c.closeOnce.Do(func() {
+		c.meter.mu.Lock()
+		sent, received := c.bytes()
+		c.meter.sent += sent
+		c.meter.received += received
+		delete(c.meter.open, c)
+		c.meter.mu.Unlock()
+		err = c.TCPConn.Close()
+	})
+	return err
+}
+
+// bytes adds the headers of the segments that the kernel counted, including acknowledgements.
+func (c *conn) bytes() (sent, received uint64) {
+	sent, received = c.sent.Load(), c.received.Load()
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return sent, received
+	}
+	_ = raw.Control(func(fd uintptr) {
+		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			sent += SegmentHeader * uint64(info.Segs_out)
+			received += SegmentHeader * uint64(info.Segs_in)
+		}
+	})
+	return sent, received
+}
--- /dev/null
+++ b/pkg/traffic/traffic_test.go
@@ -0,0 +1,46 @@
+package traffic_test
+
+import (
+	"io"
+	"net"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hornbeamway/hornbeamway/pkg/traffic"
+)
+
+func TestTraffic(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "traffic")
+}
+
+// Guards against a budget that leaves out headers, acknowledgements or closed connections.
+var _ = It("counts payload and headers in both directions, also after the connection has closed", func() {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = l.Close() }()
+	go func() {
+		if c, err := l.Accept(); err == nil {
+			_, _ = io.Copy(c, c)
+			_ = c.Close()
+		}
+	}()
+	m := traffic.Of("test")
+	Expect(traffic.Of("test")).To(BeIdenticalTo(m))
+	c, err := m.Dial(l.Addr().String())
+	Expect(err).NotTo(HaveOccurred())
+	_, err = c.Write(make([]byte, 1000))
+	Expect(err).NotTo(HaveOccurred())
+	_, err = io.ReadFull(c, make([]byte, 1000))
+	Expect(err).NotTo(HaveOccurred())
+	// The handshake, the data and its acknowledgement are at least two segments each way.
+	least := BeNumerically(">=", 1000+2*traffic.SegmentHeader)
+	sent, received := m.Bytes()
+	Expect([]uint64{sent, received}).To(HaveEach(least))
+	Expect([]uint64{sent, received}).To(HaveEach(BeNumerically("<", 2000)))
+	Expect(c.Close()).To(Succeed())
+	sent, received = m.Bytes()
+	Expect([]uint64{sent, received}).To(HaveEach(least))
+})
--- a/pkg/vmlist/list.go
+++ b/pkg/vmlist/list.go
@@ -8,6 +8,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
+
+	"github.com/hornbeamway/hornbeamway/pkg/traffic"
 )
 
 // ErrUnavailable reports that the list service did not answer.
@@ -67,7 +69,7 @@
 
 // NewClient returns a client of the list service at address, an IP and port.
 func NewClient(address string) *Client {
-	return &Client{url: "http://" + address + "/vms", http: &fasthttp.Client{}}
+	return &Client{url: "http://" + address + "/vms", http: &fasthttp.Client{Dial: traffic.Of("vmlist").Dial}}
 }
 
 type answer struct {
