Bound the holders of key ranges to 8 VMs and read their log less often

Cause: every VM renewed every 2 s and read every renewal, and read again after each append, so the bytes of the stream "operations" grew with the number of VMs. Change: at most 8 VMs hold ranges and renew, the first of a hash order that alternates between the regions; a VM that is no longer one of them hands over. A chosen VM that stays silent in the log for the takeover delay is passed over, so VMs that are alive but cut off from the log do not keep the ranges. A holder renews every 4 s instead of 2 s and reads back at once; an unconfirmed renewal is repeated after 1 s. VMs read every 4 s, every 1 s while a range has no owner or one that should not hold it, or a handover is under way. The polls send no user agent and no wait of 0. The fold, the lease (8 s from before the append), the takeover delay and the rule that only VMs heard in the log get ranges are unchanged. RangeOptions.Alive now also tells the region; the fake in cluster_test.go follows that, no assertion changed. Ruled out: renewals in a stream of their own (no order between a renewal and a claim); a read every 1 s for all (about 430 B/s by itself).

--- a/pkg/operation/cluster_test.go
+++ b/pkg/operation/cluster_test.go
@@ -112,14 +112,14 @@
 	c.vms[id] = v
 }
 
-func (c *cluster) alive() []string {
-	var ids []string
-	for _, id := range c.ids {
+func (c *cluster) alive() []operation.Candidate {
+	var all []operation.Candidate
+	for i, id := range c.ids {
 		if v := c.vms[id]; v != nil && !v.paused && !v.draining {
-			ids = append(ids, id)
+			all = append(all, operation.Candidate{VM: id, Region: []string{"north", "south"}[i%2]})
 		}
 	}
-	return ids
+	return all
 }
 
 // Handover implements operation.Peers.
--- a/pkg/operation/operation.go
+++ b/pkg/operation/operation.go
@@ -21,8 +21,9 @@
 	MaxDeadline = 30 * time.Second
 	// LeaseDuration is the validity of a lease, counted from before its renewal was sent.
 	LeaseDuration = 8 * time.Second
-	// RenewInterval is the time between two renewals.
-	RenewInterval = 2 * time.Second
+	// RenewInterval is the time between two renewals. Every VM reads every renewal, so a shorter one costs all VMs bytes;
+	// with this one, a lease has at least LeaseDuration - RenewInterval = 4 s left while the log answers.
+	RenewInterval = 4 * time.Second
 	// TakeoverDelay is the silence of an owner after which another VM claims its ranges.
 	TakeoverDelay = LeaseDuration + 4*time.Second
 	// UncleanWindow is the time after an unclean takeover during which unfamiliar keys are not run. The previous owner
--- a/pkg/operation/rangeact.go
+++ b/pkg/operation/rangeact.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"time"
 
@@ -38,6 +39,8 @@
 	if !m.table.Ready {
 		return true, m.append(ctx, LogRecord{Kind: KindReset, Expect: m.table.Next})
 	}
+	m.choose(before)
+	m.unsettled = slices.ContainsFunc(m.table.Ranges[:], func(s RangeState) bool { return !slices.Contains(m.chosen, s.VM) })
 	plan, ok := m.plan(before)
 	if ok {
 		m.startTransfers(plan)
@@ -48,12 +51,12 @@
 		records = append(records, claim)
 	}
 	now := m.Clock.Now()
-	// A VM without ranges renews too: only VMs that are heard in the log are given ranges.
-	if (len(m.holds) > 0 || !m.draining) && now.Sub(m.lastRenewal) >= RenewInterval {
+	// A holder without ranges renews too: only VMs that are heard in the log are given ranges.
+	if (len(m.holds) > 0 || m.holder()) && m.renewalDue(now) {
 		m.lastRenewal = now
 		records = append(records, LogRecord{Kind: KindRenew})
 	}
-	if m.snapshotDue(now, retention) {
+	if m.holder() && m.snapshotDue(now, retention) {
 		m.lastSnapshot = now
 		records = append(records, m.table.snapshot(m.Self))
 	}
@@ -85,6 +88,12 @@
 	return err
 }
 
+// renewalDue reports that the last renewal that was read back is old. One that was sent and not read back, because the
+// append failed or its answer was lost, is repeated after pollInterval.
+func (m *RangeManager) renewalDue(now time.Time) bool {
+	return now.Sub(m.confirmed) >= RenewInterval && now.Sub(m.lastRenewal) >= pollInterval
+}
+
 func (m *RangeManager) snapshotDue(now time.Time, retention time.Duration) bool {
 	if retention <= 0 {
 		return false
@@ -132,6 +141,23 @@
 	return ok && before.Sub(at) < TakeoverDelay
 }
 
+// choose updates the VMs that should hold ranges.
+func (m *RangeManager) choose(before time.Time) {
+	alive := m.Alive()
+	if !m.draining && !slices.ContainsFunc(alive, func(c Candidate) bool { return c.VM == m.Self.VM }) {
+		alive = append(alive, Candidate{VM: m.Self.VM})
+	}
+	m.chosen = m.holders.choose(before, m.Self.VM, alive, func(vm string) time.Time {
+		if at := m.heardVM[vm]; at.After(m.headSince) {
+			return at
+		}
+		return m.headSince
+	})
+}
+
+// holder reports that this VM should hold ranges.
+func (m *RangeManager) holder() bool { return !m.draining && slices.Contains(m.chosen, m.Self.VM) }
+
 // plan returns the VM that should own each range. VMs that have fallen silent in the log get nothing.
 func (m *RangeManager) plan(before time.Time) ([RangeCount]string, bool) {
 	var owners [RangeCount]string
@@ -146,12 +172,12 @@
 		}
 	}
 	var alive []string
-	for _, vm := range m.Alive() {
+	for _, vm := range m.chosen {
 		if vm != m.Self.VM && m.present(vm, before) {
 			alive = append(alive, vm)
 		}
 	}
-	if !m.draining {
+	if m.holder() {
 		alive = append(alive, m.Self.VM)
 	}
 	if len(alive) == 0 {
--- a/pkg/operation/ranges.go
+++ b/pkg/operation/ranges.go
@@ -13,8 +13,16 @@
 )
 
 const (
-	// pollInterval is the time between two reads of the stream. Long polls would wake every VM at every renewal.
+	// pollInterval is the time between two reads of the stream while ranges move. Long polls would wake every VM at
+	// every renewal.
 	pollInterval = time.Second
+	// quietInterval is the time between two reads while every range is where it should be.
+	quietInterval = RenewInterval
+	// startWindow is the number of records before the log's end from which a VM starts to read, to find a snapshot there.
+	// MaxHolders VMs append 2 renewals a second and a snapshot at least every 15 minutes, which are 1,800 records.
+	startWindow = 2048
+	// startWidening multiplies the window when it holds no snapshot.
+	startWidening = 4
 	// maxSnapshotInterval bounds the time between snapshots when the log keeps records for long.
 	maxSnapshotInterval = 10 * time.Minute
 	// settleDelay is the time at the log's head after which a VM has read a renewal of every VM that keeps up.
@@ -37,8 +45,9 @@
 	Peers  Peers
 	Ledger *Ledger
 	Self   Self
-	// Alive returns the ids of the entry VMs that are alive and not leaving, in all regions that this VM hears from.
-	Alive func() []string
+	// Alive returns the entry VMs that are alive and not leaving, in all regions that this VM hears from. At most
+	// MaxHolders of them hold ranges.
+	Alive func() []Candidate
 	// Go runs a transfer beside the manager's own goroutine. Default: a new goroutine.
 	Go func(func())
 }
@@ -74,11 +83,20 @@
 	heardVM map[string]time.Time
 	changed [RangeCount]time.Time
 	// headSince is the time since which this VM has been at the log's head; zero while it is not.
-	headSince    time.Time
+	headSince time.Time
+	// lastRenewal and confirmed are the times before the last renewal was sent, and before the last one that was read back.
 	lastRenewal  time.Time
+	confirmed    time.Time
 	lastSnapshot time.Time
 	backoff      map[string]time.Time
 	draining     bool
+	holders      holders
+	// chosen are the VMs that should hold ranges, as of the last step at the log's head.
+	chosen []string
+	// window is the number of records at the log's end that this VM reads to start; 0 before the first read.
+	window int64
+	// unsettled says that at the last step a range had no owner or one that should not hold ranges.
+	unsettled bool
 	// unclean counts the ranges of one batch that this VM got without their memory.
 	unclean int
 }
@@ -119,11 +137,22 @@
 		select {
 		case <-ctx.Done():
 		case <-m.wake:
-		case <-m.Clock.After(pollInterval):
+		case <-m.Clock.After(m.interval()):
 		}
 	}
 }
 
+// interval is the time until the next read.
+func (m *RangeManager) interval() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.draining || m.unsettled || m.headSince.IsZero() || len(m.transfers)+len(m.stages) > 0 ||
+		m.lastRenewal.After(m.confirmed) {
+		return pollInterval
+	}
+	return quietInterval
+}
+
 // Step reads the stream once and acts on it. More says that there is more to read at once.
 func (m *RangeManager) Step(ctx context.Context) (more bool, err error) {
 	// Silence is measured up to the time before the read, so that a pause after the read looks like no silence.
@@ -136,17 +165,53 @@
 		return false, err
 	}
 	now := m.Clock.Now()
+	if m.seek(batch) {
+		return true, nil
+	}
 	m.apply(now, batch)
 	if m.table.Next < batch.Next {
 		m.headSince = time.Time{}
 		return len(batch.Records) > 0, nil
 	}
+	if m.widen(batch) {
+		return true, nil
+	}
 	if m.headSince.IsZero() {
 		m.headSince = now
 	}
 	return m.act(ctx, before, batch.Retention())
 }
 
+// seek moves the start to startWindow records before the log's end, so that the time to read them is bounded whatever the
+// retention. It reports that the batch is not to be applied.
+func (m *RangeManager) seek(batch platformlog.Batch) bool {
+	if m.window > 0 {
+		return false
+	}
+	m.window = startWindow
+	return m.startAt(batch)
+}
+
+// widen goes further back when the records up to the log's end held no usable snapshot and there are older ones.
+func (m *RangeManager) widen(batch platformlog.Batch) bool {
+	if m.table.Ready || m.table.begin <= batch.First {
+		return false
+	}
+	m.window *= startWidening
+	m.table = Table{}
+	m.startAt(batch)
+	return true
+}
+
+func (m *RangeManager) startAt(batch platformlog.Batch) bool {
+	from := batch.Next - m.window
+	if from <= batch.First {
+		return false
+	}
+	m.table.Skip(from)
+	return true
+}
+
 func (m *RangeManager) next() int64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -265,6 +330,9 @@
 	end := sent.Add(LeaseDuration)
 	switch e.Kind {
 	case KindRenew:
+		if sent.After(m.confirmed) {
+			m.confirmed = sent
+		}
 		for _, h := range m.holds {
 			h.extend(end)
 		}
@@ -314,6 +382,10 @@
 	if m.draining || m.headSince.IsZero() || staged > m.Ledger.room() {
 		return errors.Wrap(ErrHandoverRefused, "draining, behind the log, or memory full")
 	}
+	if len(m.stages) == 0 {
+		// The release follows soon, so the interval between reads becomes the short one.
+		m.poke()
+	}
 	st := m.stages[c.Range]
 	if st == nil || (c.Index == 0 && st.handover != c.Handover) {
 		st = &stage{handover: c.Handover}
--- a/pkg/platformlog/client.go
+++ b/pkg/platformlog/client.go
@@ -45,6 +45,7 @@
 	if c.clients[part] == nil {
 		c.clients[part] = &fasthttp.Client{
 			Dial:                      traffic.Of(part).Dial,
+			NoDefaultUserAgentHeader:  true,
 			MaxIdemponentCallAttempts: 1,
 			RetryIfErr:                neverRetry,
 			MaxIdleConnDuration:       10 * time.Second,
@@ -107,8 +108,11 @@
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
-	req.SetRequestURI(fmt.Sprintf("%s/streams/%s/records?from=%s&limit=%d&waitMs=%d",
-		c.base, stream, strconv.FormatInt(from, 10), readLimit, wait.Milliseconds()))
+	uri := fmt.Sprintf("%s/streams/%s/records?from=%d&limit=%d", c.base, stream, from, readLimit)
+	if wait > 0 {
+		uri += "&waitMs=" + strconv.FormatInt(wait.Milliseconds(), 10)
+	}
+	req.SetRequestURI(uri)
 	if err := c.client(stream, "read").DoDeadline(req, resp, c.deadline(ctx, wait)); err != nil {
 		return Batch{}, errors.Wrapf(ErrUnavailable, "%v", err)
 	}
--- a/pkg/server/fleet.go
+++ b/pkg/server/fleet.go
@@ -50,10 +50,10 @@
 	})
 }
 
-// staying returns the ids of the entry VMs that are alive and not leaving, which may own key ranges.
-func (f *fleet) staying() []string {
-	return lo.FilterMap(f.members.Members(), func(m membership.Member, _ int) (string, bool) {
-		return m.ID, m.State == membership.Alive
+// staying returns the entry VMs that are alive and not leaving, which may own key ranges.
+func (f *fleet) staying() []operation.Candidate {
+	return lo.FilterMap(f.members.Members(), func(m membership.Member, _ int) (operation.Candidate, bool) {
+		return operation.Candidate{VM: m.ID, Region: m.Region}, m.State == membership.Alive
 	})
 }
 
--- a/pkg/vmlist/list.go
+++ b/pkg/vmlist/list.go
@@ -69,7 +69,7 @@
 
 // NewClient returns a client of the list service at address, an IP and port.
 func NewClient(address string) *Client {
-	return &Client{url: "http://" + address + "/vms", http: &fasthttp.Client{Dial: traffic.Of("vmlist").Dial}}
+	return &Client{url: "http://" + address + "/vms", http: &fasthttp.Client{Dial: traffic.Of("vmlist").Dial, NoDefaultUserAgentHeader: true}}
 }
 
 type answer struct {
