--- a/cmd/hornbeamlab/benchcontrol.go
+++ b/cmd/hornbeamlab/benchcontrol.go
@@ -21,6 +21,8 @@
 	Sizes    []int         `arg:"--sizes" help:"numbers of entry VMs [default: 4 8 16 32]"`
 	Settle   time.Duration `arg:"--settle" default:"25s" help:"time before the measured time"`
 	Duration time.Duration `arg:"--duration" default:"30s" help:"measured time of each size"`
+	Rate     float64       `arg:"--rate" help:"lookups per second over all entry VMs; default: idle"`
+	Service  string        `arg:"--service" default:"exponential:10ms" help:"service time of the backend servers"`
 }
 
 func (c *controlCommand) run(ctx context.Context) error {
@@ -28,7 +30,7 @@
 		c.Sizes = []int{4, 8, 16, 32}
 	}
 	return control.Run(ctx, control.Options{
-		Cluster: cluster.Options{Topology: cluster.Small(), Bin: c.Bin, Samples: c.Samples},
-		Sizes:   c.Sizes, Settle: c.Settle, Duration: c.Duration, Out: os.Stdout,
+		Cluster: cluster.Options{Topology: cluster.Small(), Bin: c.Bin, Samples: c.Samples, ServiceTime: c.Service},
+		Sizes:   c.Sizes, Settle: c.Settle, Duration: c.Duration, Rate: c.Rate, Out: os.Stdout,
 	})
 }
--- a/internal/lab/control/control.go
+++ b/internal/lab/control/control.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net/http"
 	"slices"
 	"strconv"
 	"strings"
@@ -15,6 +16,8 @@
 	"github.com/samber/lo"
 
 	"github.com/hornbeamway/hornbeamway/internal/lab/cluster"
+	"github.com/hornbeamway/hornbeamway/internal/lab/load"
+	"github.com/hornbeamway/hornbeamway/pkg/priority"
 )
 
 // The budget of one VM for control.
@@ -36,7 +39,9 @@
 	Sizes []int
 	// Settle is the time before the measured Duration.
 	Settle, Duration time.Duration
-	Out              io.Writer
+	// Rate is the number of lookups per second over all VMs during the measured time; 0: the VMs are idle.
+	Rate float64
+	Out  io.Writer
 }
 
 // Sample is the mean over the VMs of one size.
@@ -50,6 +55,8 @@
 	Cores, MaxCores, Memory, MaxMemory float64
 	// Appends is the log's appends per second in all streams.
 	Appends float64
+	// PerCall is the processor time in microseconds that all VMs together spend per answered call, control included.
+	PerCall float64
 }
 
 // Run measures each size and prints the table with the slope per VM.
@@ -86,7 +93,8 @@
 	if err != nil {
 		return Sample{}, err
 	}
-	if err := wait(ctx, o.Duration); err != nil {
+	calls, err := pass(ctx, o, c.Callers())
+	if err != nil {
 		return Sample{}, err
 	}
 	after, err := scrapeAll(c)
@@ -98,10 +106,30 @@
 		return Sample{}, err
 	}
 	s := reduce(before, after)
+	if calls > 0 {
+		s.PerCall = 1e6 * s.Cores * float64(n) * o.Duration.Seconds() / float64(calls)
+	}
 	s.Appends = float64(appendedAfter-appended) / o.Duration.Seconds()
 	return s, c.CheckMemory()
 }
 
+// pass lets the measured time pass and returns the number of calls that were answered in it.
+func pass(ctx context.Context, o Options, callers []string) (calls int64, err error) {
+	if o.Rate <= 0 {
+		return 0, wait(ctx, o.Duration)
+	}
+	report, err := load.Run(ctx, load.Options{
+		Targets: lo.Map(callers, func(address string, _ int) load.Target { return load.Target{Address: address} }),
+		Streams: []load.Stream{{Name: "lookups", Class: priority.Interactive, Method: http.MethodGet, Path: "/catalogue/",
+			Rate: o.Rate, Deadline: 2 * time.Second}},
+		Duration: o.Duration,
+	})
+	if err != nil {
+		return 0, err
+	}
+	return int64(report.Streams[0].Completed * float64(report.Streams[0].Requests)), ctx.Err()
+}
+
 func wait(ctx context.Context, d time.Duration) error {
 	select {
 	case <-ctx.Done():
@@ -193,6 +221,7 @@
 		row{"% of a core, highest VM", func(s Sample) float64 { return 100 * s.MaxCores }, "%.2f", 100 * budgetCores},
 		row{"resident MB", func(s Sample) float64 { return s.Memory / 1e6 }, "%.1f", budgetMemory / 1e6},
 		row{"resident MB, highest VM", func(s Sample) float64 { return s.MaxMemory / 1e6 }, "%.1f", budgetMemory / 1e6},
+		row{"processor us per call", func(s Sample) float64 { return s.PerCall }, "%.0f", 0},
 		row{"log appends/s, all VMs", func(s Sample) float64 { return s.Appends }, "%.2f", 0})
 }
 
