--- a/cmd/hornbeamlab/bench.go
+++ b/cmd/hornbeamlab/bench.go
@@ -15,6 +15,7 @@
 	Added     *addedCommand     `arg:"subcommand:added" help:"latency over direct calls to the same backend servers"`
 	Scenarios *scenariosCommand `arg:"subcommand:scenarios" help:"faults, floods and replacements"`
 	Body      *bodyCommand      `arg:"subcommand:body" help:"peak memory of the entry VMs while a large body passes"`
+	Control   *controlCommand   `arg:"subcommand:control" help:"bytes, processor time and memory that entry VMs spend for control"`
 	Plot      *plotCommand      `arg:"subcommand:plot" help:"draw the plots of a result file"`
 	systemFlags
 	JSON string `arg:"--json" help:"file for the result"`
@@ -48,8 +49,11 @@
 )
 
 func (c *benchCommand) run(ctx context.Context) error {
-	if c.Plot != nil {
+	switch {
+	case c.Plot != nil:
 		return c.plot()
+	case c.Control != nil:
+		return c.Control.run(ctx, c.systemFlags)
 	}
 	result := bench.NewResult(c.Seed)
 	failure := c.measure(ctx, result)
