Poll the configuration log in short waits while an unread acceptance would stop the VM

Cause: a VM that has confirmed, or started lately while a change is pending, stops admitting 3 s after the time that its last answered read was sent. A long poll of 2 s proves only what was true when it was sent, so that the proof is 2 s to 4 s old while nothing is appended, and the VM was in doubt for up to half of the time although the log answered. Peers do not help: their own contact is as old, and asking all of them fails while one listed VM does not answer. Change: a bound VM polls with a wait of 500 ms.

--- a/pkg/preset/fault_test.go
+++ b/pkg/preset/fault_test.go
@@ -343,3 +343,21 @@
 	Expect(last).To(Equal(preset.PhaseAccepted))
 	Expect((<-a.watcher.Watch(c.ctx, "nosuch")).Phase).To(Equal(preset.PhaseUnknown))
 })
+
+// Guards against a VM that stops admitting while the log answers: the answer to a long poll proves only what was true when
+// the poll was sent. A listed VM that does not answer keeps the others from asking each other.
+var _ = It("stays out of doubt during a confirm round while the log answers and a listed VM does not", func() {
+	c, a, b, e := bootstrapped()
+	c.list("a", "b", "e", "silent")
+	id, err := c.propose(a, 20)
+	Expect(err).NotTo(HaveOccurred())
+	c.until("the proposal is read", func() bool { return b.follower.Status().Position >= 1 && e.follower.Status().Position >= 1 })
+	for _, n := range []*node{a, b, e} {
+		s, _ := n.follower.View()
+		Expect(n.follower.HandleConfirm(preset.ConfirmRequest{Proposal: id, Offset: s.Pending[id].Offset}).Confirmed).To(BeTrue())
+	}
+	for range 200 {
+		c.step()
+		Expect(c.serving()).To(BeTrue())
+	}
+})
--- a/pkg/preset/follower.go
+++ b/pkg/preset/follower.go
@@ -17,6 +17,9 @@
 const (
 	// pollWait is the wait of one long poll.
 	pollWait = 2 * time.Second
+	// boundWait is the wait of one long poll while an unread acceptance would stop this VM. The answer to a poll proves
+	// what was true when the poll was sent, so that two polls in a row must be shorter than doubtAfter.
+	boundWait = 500 * time.Millisecond
 	// retryMin and retryMax bound the jittered wait after a read that failed.
 	retryMin = 200 * time.Millisecond
 	retryMax = time.Second
@@ -146,8 +149,11 @@
 func (f *Follower) readOnce(ctx context.Context) error {
 	f.mu.Lock()
 	from, wait, sent := f.reader.next(), pollWait, f.gate.boot()
-	if f.paused || !f.atEnd {
+	switch {
+	case f.paused || !f.atEnd:
 		wait = 0 // the answer is needed at once, also when there is nothing new
+	case f.bound():
+		wait = boundWait
 	}
 	f.mu.Unlock()
 	batch, err := f.log.Read(ctx, Stream, from, wait)
