Let a stopping VM take the key ranges that were released to it and hand them on

Cause: a VM that had received the memory of a range and then began to stop did not claim the range after the release that names it. Nobody else may claim such a range until the successor is silent, and then the memory is lost: 5 minutes of unknown for its keys, though both stops were planned. Change: the named successor claims also while it drains, if it has the memory, and hands the range on; a drain waits up to 4 s for the release of memory that has arrived in full. Figures: the new test fails without the change.

--- a/pkg/operation/handover.go
+++ b/pkg/operation/handover.go
@@ -111,7 +111,9 @@
 
 // stage is the memory of a range that is being received. It takes effect with a clean claim.
 type stage struct {
-	handover  string
+	handover string
+	// at is when the latest chunk arrived.
+	at        time.Time
 	next      int
 	complete  bool
 	windowEnd time.Time
--- a/pkg/operation/rangeact.go
+++ b/pkg/operation/rangeact.go
@@ -164,9 +164,10 @@
 	record := LogRecord{Kind: KindClaim, Forward: m.Self.Forward.String()}
 	for r, vm := range plan {
 		s := m.table.Ranges[r]
-		// The named successor alone has the memory, so it claims even if the plan has moved on meanwhile.
+		// The named successor alone has the memory, so it claims even if the plan has moved on meanwhile, or if it has
+		// begun to drain: it hands the range on.
 		named := s.VM == "" && s.Successor == m.Self.VM
-		if !m.draining && (named || (vm == m.Self.VM && m.claimable(r, before))) {
+		if named && (!m.draining || m.stages[r] != nil) || !m.draining && vm == m.Self.VM && m.claimable(r, before) {
 			record.Ranges = append(record.Ranges, RangeRef{Range: r, Base: s.Epoch})
 		}
 	}
--- a/pkg/operation/ranges.go
+++ b/pkg/operation/ranges.go
@@ -23,6 +23,9 @@
 	handoverWait = time.Second
 	// handoverTimeout bounds the transfer of all ranges that go to one VM.
 	handoverTimeout = 5 * time.Second
+	// releaseWait is the time after the last chunk within which the release of a range is read, if the sender got the
+	// confirmation: one poll of each side and a slow append.
+	releaseWait = 4 * time.Second
 	// handoverBackoff is the wait after a failed transfer.
 	handoverBackoff = 5 * time.Second
 )
@@ -319,7 +322,8 @@
 		st = &stage{handover: c.Handover}
 		m.stages[c.Range] = st
 	}
-	return st.add(m.Clock.Now(), c)
+	st.at = m.Clock.Now()
+	return st.add(st.at, c)
 }
 
 // Drain implements Ranges. Run must go on meanwhile. Error: ErrNoSuccessor when ctx ends first.
@@ -329,12 +333,12 @@
 	m.mu.Unlock()
 	for {
 		m.poke()
-		if m.held() == 0 {
+		if m.held() == 0 && m.expected() == 0 {
 			return nil
 		}
 		select {
 		case <-ctx.Done():
-			return errors.Wrapf(ErrNoSuccessor, "%d ranges left", m.held())
+			return errors.Wrapf(ErrNoSuccessor, "%d ranges left, %d expected", m.held(), m.expected())
 		case <-m.Clock.After(pollInterval / 10):
 		}
 	}
@@ -346,6 +350,19 @@
 	return len(m.holds)
 }
 
+// expected returns the number of ranges of which this VM has all the memory and may still become the owner.
+func (m *RangeManager) expected() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	n, now := 0, m.Clock.Now()
+	for _, s := range m.stages {
+		if s.complete && now.Sub(s.at) < releaseWait {
+			n++
+		}
+	}
+	return n
+}
+
 // poke makes Run step at once.
 func (m *RangeManager) poke() {
 	select {
--- a/pkg/operation/ranges_test.go
+++ b/pkg/operation/ranges_test.go
@@ -65,6 +65,44 @@
 		}
 	})
 
+	// Guards against memory that is lost when two VMs stop at the same time, one of them the successor of the other.
+	It("keep their memory when the successor begins to stop before it reads the release", func() {
+		old := c.owner("k")
+		e, _ := begin(old, "k")
+		old.Finish(e, done)
+		drainStart(old)
+		c.step(old.self.VM)
+		c.send(old.self.VM)
+		c.step(old.self.VM)
+		Expect(c.owner("k")).NotTo(BeNil(), "the release is not read yet")
+		var rest *vm
+		for _, id := range c.ids {
+			switch v := c.vms[id]; {
+			case v == old:
+			case rest == nil:
+				rest = v
+			default:
+				drainStart(v)
+			}
+		}
+		stopped, cancel := context.WithCancel(context.Background())
+		cancel()
+		for range 25 {
+			c.run(time.Second)
+			for id, v := range c.vms {
+				if v.draining && v.Drain(stopped) == nil {
+					delete(c.vms, id)
+				}
+			}
+		}
+		Expect(c.owned()).To(Equal(map[string]int{rest.self.VM: operation.RangeCount}))
+		_, v := begin(rest, "k")
+		Expect(v).To(Equal(operation.Replay))
+		for r := range operation.RangeCount {
+			Expect(rest.ranges.Holding(r).CleanFrom).To(BeTemporally("<=", c.clock.Now()), "range %d", r)
+		}
+	})
+
 	// Guards against a new owner that runs keys which the dead owner may have run, whatever step of a handover it died at.
 	DescribeTable("start the memory window when the owner dies", func(before func(v *vm)) {
 		old := c.owner("k")
