--- a/internal/lab/chaos/judge.go
+++ b/internal/lab/chaos/judge.go
@@ -12,6 +12,7 @@
 	"github.com/hornbeamway/hornbeamway/internal/lab/cluster"
 	"github.com/hornbeamway/hornbeamway/internal/lab/load"
 	"github.com/hornbeamway/hornbeamway/pkg/priority"
+	"github.com/hornbeamway/hornbeamway/pkg/problem"
 )
 
 // The kinds of broken promises.
@@ -204,22 +205,34 @@
 
 func (r *run) share(name string, all []*order, match func(*order) bool) {
 	var total, first, answered int
-	others := map[string]int{}
+	others, attempts := map[string]int{}, map[string]int{}
 	for _, o := range all {
 		if !match(o) || len(o.Attempts) == 0 {
 			continue
 		}
 		total++
+		for _, a := range o.Attempts {
+			attempts[a.summary()]++
+		}
 		if o.Attempts[0].Outcome == load.Answered {
 			first++
 		}
 		if slices.ContainsFunc(o.Attempts, func(a attempt) bool { return a.Outcome == load.Answered }) {
 			answered++
 		} else {
-			last := o.Attempts[len(o.Attempts)-1]
-			others[strings.TrimSpace(string(last.Outcome)+" "+last.Reason)]++
+			others[o.Attempts[len(o.Attempts)-1].summary()]++
 		}
 	}
 	percent := func(n int) float64 { return 100 * float64(n) / float64(max(total, 1)) }
 	r.printf("%-22s %9d %14.2f%% %9.2f%%  %v\n", name, total, percent(first), percent(answered), others)
+	r.printf("    all attempts: %v\n", attempts)
+}
+
+// summary is the outcome of an attempt and the end of the reason for a refusal.
+func (a *attempt) summary() string {
+	detail := ""
+	if i := strings.LastIndex(a.Detail, ": "); i >= 0 && a.Reason == string(problem.ReasonNotReady) {
+		detail = a.Detail[i+2:]
+	}
+	return strings.Join(strings.Fields(string(a.Outcome)+" "+a.Reason+" "+detail), " ")
 }
