--- a/pkg/preset/fault_test.go
+++ b/pkg/preset/fault_test.go
@@ -236,6 +236,14 @@
 		c.until("the late acceptance changes nothing", func() bool { return c.count(preset.KindAccept) == 3 })
 		c.until("all agree", c.allHave(30))
 	}),
+	Entry("every step: the log is slow", func(c *cluster, a, _, e *node) {
+		c.log.SetDelay(1500 * time.Millisecond)
+		_, err := c.propose(a, 20)
+		Expect(err).NotTo(HaveOccurred())
+		c.until("acceptance", c.allHave(20))
+		Expect(c.serving()).To(BeTrue(), "serving goes on")
+		Expect(e.follower.InForce().Content.EntryVMs).To(Equal(20))
+	}),
 	Entry("resume: the records have expired and peers know", func(c *cluster, a, _, e *node) {
 		c.pause(e)
 		c.list("a", "b")
