admin: report a veto whose effect is not known as undecided

Cause: the server answers 202 with an error when the append of a veto or withdrawal has no known effect. The client took every status below 400 for success, so that the customer, also with hornbeamctl, was told that the veto holds. The fold itself was right: the log held no veto. Change: the client returns preset.ErrUndecided.

--- a/internal/lab/chaos/operators.go
+++ b/internal/lab/chaos/operators.go
@@ -7,8 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/hornbeamway/hornbeamway/internal/lab/cluster"
 	"github.com/hornbeamway/hornbeamway/pkg/admin"
 	"github.com/hornbeamway/hornbeamway/pkg/preset"
@@ -109,11 +107,6 @@
 // veto refuses a proposal. Only a veto that the API confirmed counts.
 func (r *run) veto(vm *cluster.VM, c *change) {
 	err := vm.Customer().Veto(c.id)
-	var status *admin.StatusError
-	if errors.As(err, &status) && status.Status == 202 {
-		r.note("veto of %s over %s: undecided", c.id, vm.ID)
-		return
-	}
 	r.note("veto of %s over %s: %v", c.id, vm.ID, err)
 	if err != nil {
 		return
--- a/pkg/admin/client.go
+++ b/pkg/admin/client.go
@@ -70,8 +70,7 @@
 
 // Bootstrap sends the first presets, as JSON with comments.
 func (c *Client) Bootstrap(file []byte) error {
-	_, err := call[struct{}](c, fasthttp.MethodPost, "/v1/bootstrap", file)
-	return err
+	return c.change("/v1/bootstrap", file)
 }
 
 // Propose sends a change. A stale base gives a *StatusError with the version in force.
@@ -83,15 +82,22 @@
 	return call[ProposeAnswer](c, fasthttp.MethodPost, "/v1/proposals", body)
 }
 
-// Veto refuses a proposal for the customer.
+// Veto refuses a proposal for the customer. Error: preset.ErrUndecided when it is not known whether the veto holds.
 func (c *Client) Veto(id string) error {
-	_, err := call[struct{}](c, fasthttp.MethodPost, "/v1/proposals/"+url.PathEscape(id)+"/veto", nil)
-	return err
+	return c.change("/v1/proposals/"+url.PathEscape(id)+"/veto", nil)
 }
 
-// Withdraw takes a proposal back for the operator.
+// Withdraw takes a proposal back for the operator. Errors as for Veto.
 func (c *Client) Withdraw(id string) error {
-	_, err := call[struct{}](c, fasthttp.MethodPost, "/v1/proposals/"+url.PathEscape(id)+"/withdraw", nil)
+	return c.change("/v1/proposals/"+url.PathEscape(id)+"/withdraw", nil)
+}
+
+// change sends a change that has no answer of its own. A status below 400 with an error says that the effect is not known.
+func (c *Client) change(path string, body []byte) error {
+	answer, err := call[Error](c, fasthttp.MethodPost, path, body)
+	if err == nil && answer.Error != "" {
+		return errors.Wrap(preset.ErrUndecided, answer.Error)
+	}
 	return err
 }
 
