link: use priority.Scheduler for the shares of the region link

Cause: pkg/link had its own share queue with the rule that priority.Scheduler implements, so that a fault in the rule had to be found and mended twice.

Ruled out: charging bytes from blocks to the VM's own accounts, as Pop would. Blocks were already accounted for by the coordinator, so items served from them are taken out with Front and Remove, which count no use. Deadlines for waiters were ruled out too: they would bring the last-in-first-out order of interactive floods to parts of bodies.

Change: Scheduler gains Peek and Front; a cancelled waiter is removed by its handle in constant time.

Conclusion: one mechanism keeps the shares in both places.

--- a/pkg/link/budget.go
+++ b/pkg/link/budget.go
@@ -33,9 +33,6 @@
 	localBurst = 4 * chunk
 )
 
-// Shares are the minimum shares of the classes, most urgent first; the sum is at most 1.
-type Shares = [priority.NumClasses]float64
-
 // Settings describe the link. All VMs of a region must have the same.
 type Settings struct {
 	// Capacity is the capacity in each direction in bytes per second.
@@ -43,7 +40,7 @@
 	// VMs is the largest number of entry VMs that run in the region at the same time.
 	VMs int
 	// Shares are the minimum shares of the classes.
-	Shares Shares
+	Shares priority.Shares
 }
 
 func (s Settings) check() error {
--- a/pkg/link/coordinator.go
+++ b/pkg/link/coordinator.go
@@ -9,12 +9,8 @@
 	"github.com/hornbeamway/hornbeamway/pkg/priority"
 )
 
-const (
-	// requestLimit bounds the waiting requests of a class.
-	requestLimit = 256
-	// shareWindow is the bytes over which shares are accounted: about a second of the pledged part.
-	shareWindow = 3 << 20
-)
+// requestLimit bounds the waiting requests of a class.
+const requestLimit = 256
 
 // Elect returns the coordinator of a region among its alive VMs by rendezvous hashing.
 func Elect(region string, alive []membership.Member) (coordinator membership.Member, ok bool) {
@@ -46,12 +42,12 @@
 	pledges map[string]pledged
 	tokens  float64
 	last    time.Time
-	waiting queue[*request]
+	waiting *priority.Scheduler[*request]
 }
 
-func newCoordinator(shares Shares, now time.Time) *coordinator {
+func newCoordinator(shares priority.Shares, now time.Time) *coordinator {
 	return &coordinator{pledges: map[string]pledged{}, last: now,
-		waiting: newShareQueue[*request](shares, requestLimit, shareWindow)}
+		waiting: priority.NewScheduler[*request](shares, requestLimit)}
 }
 
 // pledge takes over a VM's part. It begins after the end of an earlier pledge of the same VM.
@@ -101,6 +97,7 @@
 			return
 		}
 		if now.After(r.deadline) { // the asking VM has given up
+			c.waiting.Charge(class, 0)
 			continue
 		}
 		n := min(r.bytes, int(c.tokens))
--- a/pkg/link/link_test.go
+++ b/pkg/link/link_test.go
@@ -33,7 +33,7 @@
 	step     = 20 * time.Millisecond
 )
 
-var ordinary = Shares{0.5, 0.3, 0.1}
+var ordinary = priority.Shares{0.5, 0.3, 0.1}
 
 // simulation runs accounts and coordinators without goroutines.
 type simulation struct {
@@ -170,6 +170,7 @@
 		s.byClass = [priority.NumClasses]float64{}
 		total := s.run(20 * time.Second)
 		for _, c := range priority.Classes() {
+			GinkgoWriter.Printf("%v: %.3f of the bytes\n", c, s.byClass[c]/total)
 			Expect(s.byClass[c]/total).To(BeNumerically(">=", 0.75*ordinary[c]), c.String())
 		}
 	})
--- a/pkg/link/pacer.go
+++ b/pkg/link/pacer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -63,7 +62,7 @@
 
 	mu      sync.Mutex
 	account *account
-	waiting *shareQueue[*waiter] // served from the VM's own part
+	waiting *priority.Scheduler[*waiter] // its accounts cover the VM's own part only
 	asking  [priority.NumClasses]bool
 	lead    *coordinator
 	sent    [priority.NumClasses]*metrics.Counter
@@ -81,7 +80,7 @@
 	now := o.Clock.Now()
 	p := &Pacer{options: o, wake: make(chan struct{}, 1), ask: make(chan struct{}, 1),
 		account: newAccount(o.Settings, o.View.Self().ID, now),
-		waiting: newShareQueue[*waiter](o.Settings.Shares, waiterLimit, shareWindow),
+		waiting: priority.NewScheduler[*waiter](o.Settings.Shares, waiterLimit),
 		lead:    newCoordinator(o.Settings.Shares, now)}
 	for _, c := range priority.Classes() {
 		p.sent[c] = o.Metrics.GetOrCreateCounter(`hornbeamway_link_paced_bytes_total{class="` + c.String() + `"}`)
@@ -104,12 +103,13 @@
 
 func (p *Pacer) wait(ctx context.Context, c priority.Class, n int) error {
 	p.mu.Lock()
-	if p.waiting.Len(c) == 0 && p.account.takeBlock(p.options.Clock.Now(), c, n) {
+	now := p.options.Clock.Now()
+	if p.waiting.Len(c) == 0 && p.account.takeBlock(now, c, n) {
 		p.mu.Unlock()
 		return nil
 	}
 	w := &waiter{n: n, ready: make(chan struct{})}
-	ok := p.waiting.Push(c, w)
+	handle, ok := p.waiting.PushUntil(c, w, now, time.Time{})
 	p.mu.Unlock()
 	if !ok {
 		return ErrQueueFull
@@ -119,16 +119,16 @@
 	case <-w.ready:
 		return nil
 	case <-ctx.Done():
-		p.abandon(c, w)
+		p.abandon(handle)
 		return errors.Wrap(ctx.Err(), "wait for the region link")
 	}
 }
 
 // abandon removes a waiter that was cancelled.
-func (p *Pacer) abandon(c priority.Class, w *waiter) {
+func (p *Pacer) abandon(h priority.Handle) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.waiting.items[c] = slices.DeleteFunc(p.waiting.items[c], func(o *waiter) bool { return o == w })
+	p.waiting.Remove(h)
 }
 
 func signal(ch chan struct{}) {
@@ -165,23 +165,31 @@
 	defer p.mu.Unlock()
 	now := p.options.Clock.Now()
 	for _, c := range priority.Classes() {
-		for p.waiting.Len(c) > 0 && p.account.takeBlock(now, c, p.waiting.items[c][0].n) {
-			close(p.waiting.items[c][0].ready)
-			p.waiting.items[c] = p.waiting.items[c][1:]
-		}
+		p.serveFromBlock(now, c)
 	}
 	for {
-		c, ok := p.waiting.next()
+		w, _, ok := p.waiting.Peek(now)
 		if !ok {
 			return 0
 		}
-		n := p.waiting.items[c][0].n
-		if !p.account.takeOwn(now, n) {
+		if !p.account.takeOwn(now, w.n) {
 			p.askForBlocks(ctx)
-			return p.account.ownDelay(now, n)
+			return p.account.ownDelay(now, w.n)
+		}
+		w, c, _ := p.waiting.Pop(now)
+		p.waiting.Charge(c, float64(w.n))
+		close(w.ready)
+	}
+}
+
+// serveFromBlock releases waiters of a class from its block, in order.
+func (p *Pacer) serveFromBlock(now time.Time, c priority.Class) {
+	for {
+		w, handle, ok := p.waiting.Front(c)
+		if !ok || !p.account.takeBlock(now, c, w.n) {
+			return
 		}
-		w, _, _ := p.waiting.Pop(now)
-		p.waiting.Charge(c, float64(n))
+		p.waiting.Remove(handle)
 		close(w.ready)
 	}
 }
--- a/pkg/priority/scheduler.go
+++ b/pkg/priority/scheduler.go
@@ -100,19 +100,48 @@
 
 // PopAllowed returns the next item to serve among the allowed classes.
 func (s *Scheduler[T]) PopAllowed(now time.Time, allowed ClassSet) (T, Class, bool) {
-	s.decay(now)
-	c, ok := s.next(allowed)
+	i, c, ok := s.choose(now, allowed)
 	if !ok {
 		var zero T
 		return zero, 0, false
 	}
 	s.estimate(c)
-	l := &s.queues[c]
-	i := l.head
+	return s.store.unlink(&s.queues[c], i), c, true
+}
+
+// Peek returns the item that Pop would return at now and leaves it queued.
+func (s *Scheduler[T]) Peek(now time.Time) (T, Class, bool) {
+	i, c, ok := s.choose(now, AllClasses)
+	if !ok {
+		var zero T
+		return zero, 0, false
+	}
+	return s.store.nodes[i].item, c, true
+}
+
+// Front returns the oldest item of a class and its handle. Remove takes it out without counting it as use, for an item
+// that is served from capacity that belongs to its class alone.
+func (s *Scheduler[T]) Front(c Class) (T, Handle, bool) {
+	i := s.queues[c].head
+	if i == none {
+		var zero T
+		return zero, Handle{}, false
+	}
+	n := &s.store.nodes[i]
+	return n.item, Handle{index: i, seq: n.seq}, true
+}
+
+// choose picks the node to serve next among the allowed classes.
+func (s *Scheduler[T]) choose(now time.Time, allowed ClassSet) (int32, Class, bool) {
+	s.decay(now)
+	c, ok := s.next(allowed)
+	if !ok {
+		return none, 0, false
+	}
 	if c == Interactive && s.flooded(now) {
-		i = l.tail
+		return s.queues[c].tail, c, true
 	}
-	return s.store.unlink(l, i), c, true
+	return s.queues[c].head, c, true
 }
 
 // flooded tells whether the oldest interactive item has waited more than half of its deadline. From then on the newest
--- a/pkg/priority/scheduler_test.go
+++ b/pkg/priority/scheduler_test.go
@@ -97,7 +97,8 @@
 	Expect([]int{first, second}).To(Equal([]int{0, 2}))
 })
 
-// Guards against lost, repeated or reordered items, queues beyond the limit, and old handles that remove another item.
+// Guards against lost, repeated or reordered items, queues beyond the limit, old handles that remove another item, and a
+// Peek or Front that names another item than the one that comes next.
 func TestQueuesKeepEveryItem(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const limit = 5
@@ -121,7 +122,11 @@
 			},
 			"pop": func(t *rapid.T) {
 				now = now.Add(time.Duration(rapid.IntRange(0, 50).Draw(t, "ms")) * time.Millisecond)
+				peeked, peekedClass, peekedOK := s.Peek(now)
 				item, c, ok := s.Pop(now)
+				if peeked != item || peekedClass != c || peekedOK != ok {
+					t.Fatalf("peeked %d of %v (%v), popped %d of %v (%v)", peeked, peekedClass, peekedOK, item, c, ok)
+				}
 				if !ok {
 					return
 				}
@@ -147,6 +152,19 @@
 					t.Fatalf("remove of %d: want %v", item, found)
 				}
 			},
+			"remove front": func(t *rapid.T) {
+				c := class.Draw(t, "class")
+				item, h, ok := s.Front(c)
+				if ok != (len(model[c]) > 0) || s.Remove(h) != ok {
+					t.Fatalf("front of %v with %d queued: %v", c, len(model[c]), ok)
+				}
+				if ok {
+					if item != model[c][0] {
+						t.Fatalf("front %d, want %d", item, model[c][0])
+					}
+					model[c] = model[c][1:]
+				}
+			},
 			"": func(t *rapid.T) {
 				for _, c := range priority.Classes() {
 					if s.Len(c) != len(model[c]) {
