proxy, dispatch: refuse once, and blame no server for a missing connection

Cause: a call that the best pool refused with queue_full was brought to up to three more pools or dispatchers, some in the other region, although that pool had been chosen by its expected wait. And a call for which this VM had no connection (connection cap or pacing of new ones) was reported to the pool as shed by the server: five in a row ejected a healthy server.

Ruled out: to move on for deadline_too_short (that was already refused once). To leave such a server as it is: it stays the best choice of each waiting call and uses up their attempts, so it gets nothing for 20 ms, the time between two new connections at 50 per second.

Change: queue_full ends the dispatch like deadline_too_short. New result Unsent, which pauses the server, counts no error and no cost.

--- a/pkg/dispatch/health.go
+++ b/pkg/dispatch/health.go
@@ -24,6 +24,10 @@
 	// drainMemory is the time for which a report that says that a server does not drain counts less than the drain
 	// answer of the server, because reports lag.
 	drainMemory = 30 * time.Second
+	// unsentPause is the time for which a server gets nothing after this VM had no connection for it. It is the time
+	// between two new connections at 50 per second. The shortage is the VM's own, so it is no error of the server;
+	// without the pause the server would stay the best choice of each waiting call and use up their attempts.
+	unsentPause = 20 * time.Millisecond
 )
 
 // learn updates the statistics from the result of a call.
@@ -56,6 +60,8 @@
 		}
 	case Refused:
 		s.refuse(now)
+	case Unsent:
+		s.paused, s.pausedUntil = true, now.Add(unsentPause)
 	case Draining:
 		s.lastAnswer = now
 		s.draining, s.drainedAt = true, now
--- a/pkg/dispatch/pool.go
+++ b/pkg/dispatch/pool.go
@@ -227,7 +227,11 @@
 	s := l.state
 	s.busy--
 	p.held[l.class]--
-	p.queue.Charge(l.class, max(now.Sub(l.granted).Seconds(), 0))
+	cost := max(now.Sub(l.granted).Seconds(), 0)
+	if r.Class == Unsent {
+		cost = 0 // nothing was run; as a cost it would make the expected wait too short
+	}
+	p.queue.Charge(l.class, cost)
 	p.learn(now, s, l.class, r)
 	if !s.listed && s.busy == 0 && p.byID[s.server.ID] == s {
 		delete(p.byID, s.server.ID)
--- a/pkg/dispatch/serverstate.go
+++ b/pkg/dispatch/serverstate.go
@@ -44,6 +44,8 @@
 	backoff      time.Duration
 	refusedUntil time.Time
 	refused      bool
+	pausedUntil  time.Time
+	paused       bool // this VM has no connection to the server until then
 	draining     bool
 	drainedAt    time.Time
 	listed       bool
@@ -112,12 +114,12 @@
 
 func (s *ServerState) wantEject() bool { return s.tooSlow || !s.ejectedUntil.IsZero() }
 
-func (s *ServerState) free() bool { return s.busy < s.Limit() }
+func (s *ServerState) free() bool { return s.busy < s.Limit() && !s.paused }
 
 // trialDue tells whether the server should get a trial call now. Ordinary calls wait trialPatience longer than bulk and
 // hedged calls, because the call may be slow or fail.
 func (s *ServerState) trialDue(now time.Time, preferred bool) bool {
-	if !s.open() || s.busy > 0 {
+	if !s.open() || s.busy > 0 || s.paused {
 		return false
 	}
 	if s.refused || !s.ejectedUntil.IsZero() {
@@ -181,6 +183,9 @@
 
 // returnByTime ends ejections whose time is over. One more error ejects the server again.
 func (s *ServerState) returnByTime(now time.Time) {
+	if s.paused && !now.Before(s.pausedUntil) {
+		s.paused = false
+	}
 	if s.refused && !now.Before(s.refusedUntil) {
 		s.refused = false
 		s.restart()
--- a/pkg/dispatch/types.go
+++ b/pkg/dispatch/types.go
@@ -70,6 +70,8 @@
 	TimedOut
 	// Cancelled is a call ended by this side: the caller left or a hedge won.
 	Cancelled
+	// Unsent is a call for which this VM had no connection: its connection cap or its rate of new connections was reached.
+	Unsent
 )
 
 // Result is the end of a call on a server.
--- a/pkg/proxy/attempt.go
+++ b/pkg/proxy/attempt.go
@@ -66,7 +66,7 @@
 	case failure.Cancelled, c.stream != nil && c.stream.err != nil:
 		return dispatch.Cancelled
 	case errors.Is(failure, upstream.ErrConnectionLimit), errors.Is(failure, upstream.ErrPaced):
-		return dispatch.Shed
+		return dispatch.Unsent
 	case failure.Stage == upstream.StageConnect:
 		return dispatch.Refused
 	case failure.Timeout:
--- a/pkg/proxy/dispatch.go
+++ b/pkg/proxy/dispatch.go
@@ -67,8 +67,11 @@
 func (p *Proxy) mayMoveOn(ctx context.Context, c *call, err error) bool {
 	failure := asProblem(err)
 	switch failure.Reason {
-	case problem.ReasonDeadline, problem.ReasonDeadlineTooShort, problem.ReasonCancelled, problem.ReasonBadRequest,
-		problem.ReasonBodyTooLarge:
+	case problem.ReasonDeadline, problem.ReasonCancelled, problem.ReasonBadRequest, problem.ReasonBodyTooLarge:
+		return false
+	case problem.ReasonDeadlineTooShort, problem.ReasonQueueFull:
+		// The best pool was chosen by its expected wait, so the others refuse as well. In a flood their hops, some of them
+		// to the other region, would cost more than the calls that are served.
 		return false
 	}
 	if ctx.Err() != nil || !p.timeLeft(c) || !c.resendable() {
