Be ready only once the backend servers are known

Ruled out: taking the servers from peers: the list is the authority, and a peer's copy can be as old as the outage. Change: /readyz answers no_vm_list until the first list was read. Conclusion: the platform's balancer sends no callers there.

--- a/pkg/proxy/fixture_test.go
+++ b/pkg/proxy/fixture_test.go
@@ -124,10 +124,13 @@
 	mu      sync.Mutex
 	suspect []string
 	learnt  time.Duration
+	unknown bool
 }
 
 func (f *fakePlacement) Targets(string, priority.Class) []proxy.Target { return f.targets }
 
+func (f *fakePlacement) Known() bool { return !f.unknown }
+
 func (f *fakePlacement) Learn(_ dispatch.PoolKey, load dispatch.Load) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -50,6 +50,8 @@
 	Targets(service string, class priority.Class) []Target
 	// Learn takes the load that a pool carried back on an answer.
 	Learn(pool dispatch.PoolKey, load dispatch.Load)
+	// Known reports whether the backend servers have been read since the start.
+	Known() bool
 	// Suspect avoids a VM for a moment after a forwarded call failed.
 	Suspect(vm string)
 }
@@ -226,6 +228,9 @@
 	if p.Configuration.InForce() == nil {
 		return false, string(p.Configuration.Reason())
 	}
+	if !p.Placement.Known() {
+		return false, "no_vm_list"
+	}
 	return true, ""
 }
 
--- a/pkg/proxy/refusal_test.go
+++ b/pkg/proxy/refusal_test.go
@@ -312,6 +312,15 @@
 		}
 	})
 
+	// Guards against a VM that started while the VM list was down and draws callers although it knows no backend server.
+	It("is not ready until the backend servers are known", func() {
+		v := pair("127.0.0.1:1")[0]
+		v.placement.unknown = true
+		Expect(do("GET", v.url("/.well-known/hornbeamway/readyz"), "").StatusCode).To(Equal(503))
+		v.placement.unknown = false
+		Expect(do("GET", v.url("/.well-known/hornbeamway/readyz"), "").StatusCode).To(Equal(200))
+	})
+
 	// Guards against a planned stop that cuts a call, or that waits for connections on which nothing is asked.
 	It("finishes calls in flight at a planned stop and ends idle connections", func() {
 		proceed := make(chan struct{})
--- a/pkg/server/placement.go
+++ b/pkg/server/placement.go
@@ -1,6 +1,8 @@
 package server
 
 import (
+	"sync/atomic"
+
 	"github.com/samber/lo"
 
 	"github.com/hornbeamway/hornbeamway/pkg/dispatch"
@@ -13,6 +15,7 @@
 type placement struct {
 	choice   *dispatch.PoolChoice
 	registry *dispatch.Registry
+	known    atomic.Bool
 }
 
 var _ proxy.Placement = (*placement)(nil)
@@ -22,6 +25,9 @@
 	p.choice.Update(servers, lo.FilterMap(members, func(m membership.Member, _ int) (dispatch.VM, bool) {
 		return dispatchVM(m), m.State == membership.Alive
 	}))
+	if len(servers) > 0 {
+		p.known.Store(true)
+	}
 }
 
 func dispatchVM(m membership.Member) dispatch.VM {
@@ -45,5 +51,8 @@
 // Learn implements proxy.Placement.
 func (p *placement) Learn(pool dispatch.PoolKey, load dispatch.Load) { p.choice.Observe(pool, load, 0) }
 
+// Known implements proxy.Placement.
+func (p *placement) Known() bool { return p.known.Load() }
+
 // Suspect implements proxy.Placement.
 func (p *placement) Suspect(vm string) { p.choice.Suspect(vm) }
