measure: spend the stated cost of a probe, not the time of its answer

Cause: the planner learnt the backend time of a probe from the time of its answer, 0.3 ms, although a probe costs a server the probeCost of the preset, 5 ms.

Ruled out: two VMs that probe the same server (296 B/s is one VM at its byte limit).

Change: a probe spends at least the preset's probeCost; 5 ms if the preset states none.

Test: a server that answers at once gets at most one probe per second at 5 ms; fails without the fix.

--- a/pkg/measure/planner.go
+++ b/pkg/measure/planner.go
@@ -7,7 +7,8 @@
 const (
 	// quietTime is the time without an answer after which a server may be probed.
 	quietTime = 2 * time.Second
-	// initialTime and initialBytes are expected of a probe of a server that was not probed yet: 5 ms is the higher of the known costs.
+	// initialTime is taken for a probe whose cost is not stated: 5 ms is the higher of the known costs. initialBytes are
+	// expected of the first probe of a server.
 	initialTime  = 5 * time.Millisecond
 	initialBytes = 512
 )
@@ -18,6 +19,8 @@
 	Address string
 	// LastAnswer is the time of the last answer to a call. Zero: none.
 	LastAnswer time.Time
+	// Cost is the backend time of a probe as the preset states it. Zero: not stated; 5 ms are taken.
+	Cost time.Duration
 }
 
 // Result is the answer to a probe.
@@ -73,11 +76,15 @@
 			s = &probed{
 				time:     newBucket(now, serverTimeRate),
 				bytes:    newBucket(now, serverByteRate),
-				expected: Cost{Time: initialTime, Bytes: initialBytes},
+				expected: Cost{Bytes: initialBytes},
 			}
 			p.servers[t.ID] = s
 		}
 		s.target, s.listed = t, true
+		if t.Cost == 0 {
+			s.target.Cost = initialTime
+		}
+		s.expected.Time = max(s.expected.Time, s.target.Cost)
 		p.order = append(p.order, t.ID)
 	}
 	for id, s := range p.servers {
@@ -121,7 +128,8 @@
 	if failed {
 		return Report{}, false
 	}
-	s.expected = r.Cost
+	// A server may answer long before it has paid for the probe, so the answer's time alone says too little.
+	s.expected = Cost{Time: max(r.Cost.Time, s.target.Cost), Bytes: r.Cost.Bytes}
 	at := now.Add(-r.Age)
 	if s.target.LastAnswer.After(sent) || s.target.LastAnswer.After(at) {
 		return Report{}, false
--- a/pkg/measure/planner_test.go
+++ b/pkg/measure/planner_test.go
@@ -83,6 +83,23 @@
 	Entry("not of a server with a recent answer", 1100*time.Millisecond, 1900*time.Millisecond, false),
 )
 
+// Guards against a server that is probed too often because it answers long before it has paid for the probe.
+var _ = DescribeTable("spends the stated cost of a probe, not only the time of its answer", func(stated time.Duration, most int) {
+	p, probes := measure.NewPlanner(start), 0
+	for now := start; now.Before(start.Add(10 * time.Second)); now = now.Add(100 * time.Millisecond) {
+		p.Update(now, []measure.Target{{ID: "a", Cost: stated}})
+		if _, ok := p.Next(now); ok {
+			probes++
+			p.Done(now, now, "a", measure.Result{Cost: measure.Cost{Time: 300 * time.Microsecond, Bytes: 250}}, false)
+		}
+	}
+	Expect(probes).To(And(BeNumerically(">=", most-1), BeNumerically("<=", most)))
+},
+	Entry("5 ms", 5*time.Millisecond, 10),
+	Entry("10 ms", 10*time.Millisecond, 5),
+	Entry("not stated", time.Duration(0), 10),
+)
+
 // Guards against a probe result that overrules a later answer.
 var _ = It("drops a result that is older than the last answer", func() {
 	p := measure.NewPlanner(start)
--- a/pkg/server/probing.go
+++ b/pkg/server/probing.go
@@ -11,14 +11,15 @@
 	"github.com/hornbeamway/hornbeamway/pkg/clock"
 	"github.com/hornbeamway/hornbeamway/pkg/dispatch"
 	"github.com/hornbeamway/hornbeamway/pkg/measure"
+	"github.com/hornbeamway/hornbeamway/pkg/preset"
 )
 
 // newProbing returns the runner that probes the backend servers of the pools that this VM dispatches.
-func newProbing(c clock.Clock, registry *dispatch.Registry, choice *dispatch.PoolChoice) *measure.Runner {
+func newProbing(c clock.Clock, registry *dispatch.Registry, choice *dispatch.PoolChoice, inForce func() *preset.Effective) *measure.Runner {
 	return &measure.Runner{
 		Clock:   c,
 		Prober:  &loadProber{client: &fasthttp.Client{MaxIdemponentCallAttempts: 1, MaxConnsPerHost: 1, MaxIdleConnDuration: probeIdle}},
-		Targets: func() []measure.Target { return probeTargets(registry, choice) },
+		Targets: func() []measure.Target { return probeTargets(registry, choice, inForce()) },
 		Report:  func(r measure.Report) { reportTo(registry, r) },
 	}
 }
@@ -29,20 +30,32 @@
 // probeOverhead is the size in bytes of the heads of a probe and of its answer, which the client does not tell.
 const probeOverhead = 250
 
-func probeTargets(registry *dispatch.Registry, choice *dispatch.PoolChoice) []measure.Target {
+func probeTargets(registry *dispatch.Registry, choice *dispatch.PoolChoice, effective *preset.Effective) []measure.Target {
 	var targets []measure.Target
 	for key, runner := range registry.Runners() {
 		if !choice.Dispatches(key) {
 			continue
 		}
+		cost := probeCost(effective, key.Service)
 		for _, s := range runner.Inspect() {
 			server := s.Server()
-			targets = append(targets, measure.Target{ID: server.ID, Address: server.Address, LastAnswer: s.LastAnswer()})
+			targets = append(targets, measure.Target{ID: server.ID, Address: server.Address, LastAnswer: s.LastAnswer(), Cost: cost})
 		}
 	}
 	return targets
 }
 
+// probeCost returns the backend time of a probe as the preset in force states it; 0 if it states none.
+func probeCost(effective *preset.Effective, service string) time.Duration {
+	if effective == nil {
+		return 0
+	}
+	if described, ok := effective.Content.Service(service); ok {
+		return described.ProbeCost.Std()
+	}
+	return 0
+}
+
 func reportTo(registry *dispatch.Registry, r measure.Report) {
 	report := dispatch.LoadReport{Busy: r.Busy, Queued: r.Queued, Draining: r.Draining, At: r.At}
 	for _, runner := range registry.Runners() {
--- a/pkg/server/providers.go
+++ b/pkg/server/providers.go
@@ -178,7 +178,8 @@
 }
 
 func newProber(i do.Injector) (*measure.Runner, error) {
-	return newProbing(do.MustInvoke[clock.Clock](i), do.MustInvoke[*dispatch.Registry](i), do.MustInvoke[*placement](i).choice), nil
+	return newProbing(do.MustInvoke[clock.Clock](i), do.MustInvoke[*dispatch.Registry](i), do.MustInvoke[*placement](i).choice,
+		do.MustInvoke[*preset.Follower](i).InForce), nil
 }
 
 func newProxy(i do.Injector) (*proxy.Proxy, error) {
