proxy, dispatch: refuse without a hop; keep bulk off the region link

Cause: (1) in a flood of views (3750/s against 750/s) each refused call went to another VM to be refused there, some to the other region: the VMs counted 34359 refusals for 22292 callers. A short backlog while the servers of a new pool start slowly made the expected wait of bulk longer than the round trip to the other region. Archives that cross wait for the region link and hold their slots meanwhile, which makes the waits look longer in both regions, so that more cross; the state does not end by itself.

Change: (1) an entry VM refuses a call itself when the best pool has stated within the last 20 ms that the wait exceeds the time left. (2) A bulk call crosses only when that saves a second.

Tests: refusals without a hop and what is still sent; the age of the statement; bulk at 1 s and 2 s.

--- a/pkg/dispatch/poolplacement.go
+++ b/pkg/dispatch/poolplacement.go
@@ -15,6 +15,13 @@
 	suspectTime = time.Second
 	// loadMaxAge is the age from which a pool's statement is ignored. The nearest pool is then tried again.
 	loadMaxAge = time.Second
+	// refuseMaxAge is the age up to which a pool's statement refuses a call without asking the pool. A queue that is as
+	// long as a deadline does not empty in that time, and one call per entry VM and 20 ms is cheap enough to ask again.
+	refuseMaxAge = 20 * time.Millisecond
+	// bulkLinkWait is how much longer a bulk call must expect to wait before it goes to the other region. Its answer waits
+	// for the shared region link and holds its slot meanwhile, which makes the waits of both regions look longer: without
+	// this, a short backlog at the start sent archives over the link until the link was full, for good.
+	bulkLinkWait = time.Second
 )
 
 // VM is an entry VM that may dispatch pools.
@@ -44,6 +51,8 @@
 	Self bool
 	// Remote is set when the pool is in the other region, so that bodies cross the billed link.
 	Remote bool
+	// ExpectedWait is the wait that the pool has stated within the last 20 ms; 0 if it has stated none.
+	ExpectedWait time.Duration
 }
 
 // PoolChoice picks the pool of a call and that pool's dispatcher. It is safe for concurrent use.
@@ -163,7 +172,11 @@
 	if !near.Healthy {
 		return true
 	}
-	return near.ExpectedWait[class]-far.ExpectedWait[class] > farther.roundTrip-nearer.roundTrip
+	price := farther.roundTrip - nearer.roundTrip
+	if class == priority.Bulk && farther.remote && !nearer.remote {
+		price += bulkLinkWait
+	}
+	return near.ExpectedWait[class]-far.ExpectedWait[class] > price
 }
 
 func (p *PoolChoice) load(now time.Time, key PoolKey) (Load, bool) {
--- a/pkg/dispatch/poolplacement_test.go
+++ b/pkg/dispatch/poolplacement_test.go
@@ -80,6 +80,35 @@
 	Entry("nearest when all are unhealthy", "d1", statement{"d1", false, 0, 0}, statement{"d2", false, 0, 0}, statement{"d3", false, 0, 0}),
 )
 
+// Guards against archives that fill the region link because of a short backlog.
+var _ = DescribeTable("keeps bulk off the region link", func(class priority.Class, wait time.Duration, remote bool) {
+	choice := dispatch.NewPoolChoice(dispatch.ChoiceOptions{Clock: clock.NewManual(start), Self: dispatch.VM{ID: "e1", Region: "r1", DataCentre: "d1"}})
+	choice.Update([]dispatch.Server{{Service: "orders", Region: "r1", DataCentre: "d1"}, {Service: "orders", Region: "r2", DataCentre: "d3"}}, nil)
+	load := dispatch.Load{Healthy: true}
+	load.ExpectedWait[class] = wait
+	choice.Observe(dispatch.PoolKey{Service: "orders", DataCentre: "d1"}, load, 0)
+	Expect(choice.Targets("orders", class)[0].Remote).To(Equal(remote))
+},
+	Entry("bulk waits 1 s", priority.Bulk, time.Second, false),
+	Entry("bulk waits 2 s", priority.Bulk, 2*time.Second, true),
+	Entry("a claim waits 70 ms", priority.Transactional, 70*time.Millisecond, true),
+)
+
+// Guards against a statement that refuses calls although the queue may be empty by now.
+var _ = It("states the expected wait of the first target for 20 ms only", func() {
+	manual := clock.NewManual(start)
+	choice := dispatch.NewPoolChoice(dispatch.ChoiceOptions{Clock: manual, Self: dispatch.VM{ID: "e1", Region: "r1", DataCentre: "d1"}})
+	choice.Update([]dispatch.Server{{Service: "orders", Region: "r1", DataCentre: "d1"}}, nil)
+	Expect(choice.Targets("orders", priority.Interactive)[0].ExpectedWait).To(BeZero())
+	load := dispatch.Load{Healthy: true}
+	load.ExpectedWait[priority.Interactive] = time.Second
+	choice.Observe(dispatch.PoolKey{Service: "orders", DataCentre: "d1"}, load, 0)
+	manual.Advance(20 * time.Millisecond)
+	Expect(choice.Targets("orders", priority.Interactive)[0].ExpectedWait).To(Equal(time.Second))
+	manual.Advance(time.Millisecond)
+	Expect(choice.Targets("orders", priority.Interactive)[0].ExpectedWait).To(BeZero())
+})
+
 // Guards against calls that keep going to a dispatcher that is dead but not yet known as such.
 var _ = It("skips a suspect dispatcher for one second and uses itself last", func() {
 	manual := clock.NewManual(start)
--- a/pkg/dispatch/targets.go
+++ b/pkg/dispatch/targets.go
@@ -6,7 +6,7 @@
 	"github.com/hornbeamway/hornbeamway/pkg/priority"
 )
 
-// Targets returns the ways to serve a call, best first: the chosen pool's dispatcher, its successor, then the other
+// Targets returns the ways to serve a call, best first: the chosen pool's dispatcher with the pool's expected wait, its successor, then the other
 // pools' dispatchers, nearest first, and at last this VM itself for the chosen pool. A call that is proved not run on one
 // target may go to the next.
 func (p *PoolChoice) Targets(service string, class priority.Class) []Target {
@@ -19,7 +19,11 @@
 	}
 	best := p.best(now, places, class)
 	targets := make([]Target, 0, len(places)+2)
-	targets = append(targets, p.target(best, p.dispatcher(now, best)))
+	first := p.target(best, p.dispatcher(now, best))
+	if load := p.loads[best.key]; now.Sub(load.At) <= refuseMaxAge {
+		first.ExpectedWait = load.ExpectedWait[class]
+	}
+	targets = append(targets, first)
 	if next, ok := p.successor(now, best); ok {
 		targets = append(targets, p.target(best, next))
 	}
--- a/pkg/proxy/dispatch.go
+++ b/pkg/proxy/dispatch.go
@@ -40,6 +40,9 @@
 }
 
 func (p *Proxy) dispatchTo(ctx context.Context, c *call, target Target) error {
+	if err := p.refuseByWait(c, target); err != nil {
+		return err
+	}
 	c.crossing = target.OtherRegion
 	if target.Local {
 		return p.serveFromPool(ctx, c, target.Pool)
@@ -51,6 +54,19 @@
 	return err
 }
 
+// refuseByWait refuses a call that the dispatcher of another VM would refuse, so that a refusal costs no hop. In a flood
+// most calls are refused.
+func (p *Proxy) refuseByWait(c *call, target Target) error {
+	if target.Local || c.deadline.IsZero() || target.ExpectedWait == 0 {
+		return nil
+	}
+	if left := c.deadline.Sub(p.Clock.Now()); left <= 0 || target.ExpectedWait <= left {
+		return nil
+	}
+	return problem.New(fasthttp.StatusServiceUnavailable, problem.NotRun, problem.ReasonDeadlineTooShort,
+		"the expected wait exceeds the time left").WithRetryAfter(max(target.ExpectedWait, notReadyRetry))
+}
+
 // unreachable reports an attempt that failed on the way to another VM, not one that the caller ended or that ran out of time
 // before it was sent.
 func unreachable(err error) bool {
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -42,6 +42,8 @@
 	Local bool
 	// OtherRegion says that the pool is behind the region link.
 	OtherRegion bool
+	// ExpectedWait is what the pool has stated in the last moments. Zero: not known.
+	ExpectedWait time.Duration
 }
 
 // Placement finds the dispatchers of the pools of a service.
--- a/pkg/proxy/refusal_test.go
+++ b/pkg/proxy/refusal_test.go
@@ -164,6 +164,27 @@
 		Entry("stopped dispatcher", problem.ReasonDraining, 1),
 	)
 
+	// Guards against refusals that cost a hop each in a flood, and against refusing what can still be served.
+	DescribeTable("refuses without a hop what the pool's expected wait excludes", func(wait time.Duration, visits int) {
+		other := newVM(GinkgoTB(), "e2", []string{backend(answering(http.StatusOK))}, nil)
+		v := newVM(GinkgoTB(), "e1", nil, func(o *proxy.Options) {
+			o.Placement = &fakePlacement{targets: []proxy.Target{{Pool: testPool, VM: "e2", Forward: other.forward, ExpectedWait: wait}}}
+		})
+		resp := do("GET", v.url("/view"), "", "X-Deadline-Ms", "2000")
+		if visits == 0 {
+			p := told(resp)
+			Expect(p.Reason).To(Equal(problem.ReasonDeadlineTooShort))
+			Expect(p.Outcome).To(Equal(problem.NotRun))
+			Expect(resp.Header.Get("Retry-After")).To(Equal("4"))
+		}
+		_ = text(resp)
+		Expect(other.pools.finished()).To(HaveLen(visits))
+	},
+		Entry("longer than the deadline", 3500*time.Millisecond, 0),
+		Entry("within the deadline", time.Second, 1),
+		Entry("not known", time.Duration(0), 1),
+	)
+
 	// Guards against a second attempt that hides that the first one may have been run.
 	It("never tells not run after an attempt that may have been run", func() {
 		address := backend(aborting)
--- a/pkg/server/placement.go
+++ b/pkg/server/placement.go
@@ -37,7 +37,9 @@
 			// Pools of this VM answer without a message, so their load is learnt here.
 			p.choice.Observe(t.Pool, load, 0)
 		}
-		answer[i] = proxy.Target{Pool: t.Pool, VM: t.VM.ID, Forward: t.VM.Forward, Local: t.Self, OtherRegion: t.Remote}
+		answer[i] = proxy.Target{
+			Pool: t.Pool, VM: t.VM.ID, Forward: t.VM.Forward, Local: t.Self, OtherRegion: t.Remote, ExpectedWait: t.ExpectedWait,
+		}
 	}
 	return answer
 }
