proxy: do not take a dispatcher with a long queue for dead

Cause: an entry VM gave a call that it had forwarded a third of its time to show a sign, 667 ms in a flood with deadlines of 2 s. Calls waited longer than that in the queue, so the entry VM cancelled them, suspected the dispatcher for a second and made the next VM a second dispatcher for the same servers. The cancelled calls closed their connections, and new ones are paced.

Ruled out: the first-byte timeout of backend servers (8 x p95 = 960 ms); slow start of a new pool (a trial without it changed nothing).

Change: twice the wait that the pool has stated within the last second is added.

Test fails without the change.

--- a/pkg/dispatch/poolplacement.go
+++ b/pkg/dispatch/poolplacement.go
@@ -53,6 +53,8 @@
 	Remote bool
 	// ExpectedWait is the wait that the pool has stated within the last 20 ms; 0 if it has stated none.
 	ExpectedWait time.Duration
+	// RecentWait is the wait that the pool has stated within the last second; 0 if it has stated none.
+	RecentWait time.Duration
 }
 
 // PoolChoice picks the pool of a call and that pool's dispatcher. It is safe for concurrent use.
--- a/pkg/dispatch/targets.go
+++ b/pkg/dispatch/targets.go
@@ -20,8 +20,11 @@
 	best := p.best(now, places, class)
 	targets := make([]Target, 0, len(places)+2)
 	first := p.target(best, p.dispatcher(now, best))
-	if load := p.loads[best.key]; now.Sub(load.At) <= refuseMaxAge {
-		first.ExpectedWait = load.ExpectedWait[class]
+	if load, known := p.load(now, best.key); known {
+		first.RecentWait = load.ExpectedWait[class]
+		if now.Sub(load.At) <= refuseMaxAge {
+			first.ExpectedWait = first.RecentWait
+		}
 	}
 	targets = append(targets, first)
 	if next, ok := p.successor(now, best); ok {
--- a/pkg/proxy/dispatch.go
+++ b/pkg/proxy/dispatch.go
@@ -47,7 +47,7 @@
 	if target.Local {
 		return p.serveFromPool(ctx, c, target.Pool)
 	}
-	err := p.forwardCall(ctx, c, hop{kind: hopDispatch, vm: target.VM, address: target.Forward, pool: target.Pool})
+	err := p.forwardCall(ctx, c, hop{kind: hopDispatch, vm: target.VM, address: target.Forward, pool: target.Pool, wait: target.RecentWait})
 	if unreachable(err) {
 		p.Placement.Suspect(target.VM)
 	}
--- a/pkg/proxy/forward.go
+++ b/pkg/proxy/forward.go
@@ -22,6 +22,8 @@
 	vm, address string
 	// pool is the pool that the other VM dispatches; for hopDispatch only.
 	pool dispatch.PoolKey
+	// wait is the expected wait in that pool; 0 if it is not known.
+	wait time.Duration
 }
 
 // forwardCall sends the call to another entry VM and leaves its answer in the caller's response. A refusal of that VM
@@ -40,7 +42,7 @@
 		Idempotent: c.route.Idempotent,
 		Deadline:   forwardDeadline(c.deadline),
 		// A paused VM accepts connections and bytes but never answers.
-		FirstByteTimeout: p.forwardTimeout(c),
+		FirstByteTimeout: p.forwardTimeout(c, h.wait),
 		BeforeWrite:      func() error { return p.checkBeforeWrite(c, req) },
 	}
 	resp := &c.ctx.Response
@@ -76,12 +78,15 @@
 const minForwardTimeout = 250 * time.Millisecond
 
 // forwardTimeout is the wait for another VM after which an idempotent call that can be sent again is brought to the next
-// one: a third of the time left, so that two more VMs can be tried.
-func (p *Proxy) forwardTimeout(c *call) time.Duration {
+// one: a third of the time left, so that two more VMs can be tried. A call that waits in the queue of its pool looks the same,
+// so twice the wait that the pool has stated is added. Without it each long queue made the entry VMs take the dispatcher for
+// dead, cancel its calls and set up a second dispatcher for the same servers. The wait of a VM that is dead is forgotten
+// after a second.
+func (p *Proxy) forwardTimeout(c *call, wait time.Duration) time.Duration {
 	if !c.route.Idempotent || !c.replayable() || c.deadline.IsZero() {
 		return 0
 	}
-	return max(minForwardTimeout, c.deadline.Sub(p.Clock.Now())/3)
+	return max(minForwardTimeout, c.deadline.Sub(p.Clock.Now())/3) + 2*wait
 }
 
 // learnLoad takes the load that the dispatcher put on its answer.
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -44,6 +44,8 @@
 	OtherRegion bool
 	// ExpectedWait is what the pool has stated in the last moments. Zero: not known.
 	ExpectedWait time.Duration
+	// RecentWait is what the pool has stated within a second. Zero: not known.
+	RecentWait time.Duration
 }
 
 // Placement finds the dispatchers of the pools of a service.
--- a/pkg/proxy/refusal_test.go
+++ b/pkg/proxy/refusal_test.go
@@ -185,6 +185,22 @@
 		Entry("not known", time.Duration(0), 1),
 	)
 
+	// Guards against a dispatcher with a long queue that is taken for dead, and against one that is dead and is waited for.
+	DescribeTable("waits for a dispatcher as long as its queue is", func(wait time.Duration, visits int) {
+		slow := newVM(GinkgoTB(), "e2", []string{backend(func(http.ResponseWriter, *http.Request) { time.Sleep(500 * time.Millisecond) })}, nil)
+		next := newVM(GinkgoTB(), "e3", []string{backend(answering(http.StatusOK))}, nil)
+		placement := &fakePlacement{targets: []proxy.Target{
+			{Pool: testPool, VM: "e2", Forward: slow.forward, RecentWait: wait}, {Pool: testPool, VM: "e3", Forward: next.forward},
+		}}
+		v := newVM(GinkgoTB(), "e1", nil, func(o *proxy.Options) { o.Placement = placement })
+		Expect(do("GET", v.url("/view"), "", "X-Deadline-Ms", "900").StatusCode).To(Equal(http.StatusOK))
+		Expect(next.pools.finished()).To(HaveLen(visits))
+		Expect(placement.suspect).To(HaveLen(visits))
+	},
+		Entry("long queue", 200*time.Millisecond, 0),
+		Entry("no queue", time.Duration(0), 1),
+	)
+
 	// Guards against a second attempt that hides that the first one may have been run.
 	It("never tells not run after an attempt that may have been run", func() {
 		address := backend(aborting)
--- a/pkg/server/placement.go
+++ b/pkg/server/placement.go
@@ -38,7 +38,8 @@
 			p.choice.Observe(t.Pool, load, 0)
 		}
 		answer[i] = proxy.Target{
-			Pool: t.Pool, VM: t.VM.ID, Forward: t.VM.Forward, Local: t.Self, OtherRegion: t.Remote, ExpectedWait: t.ExpectedWait,
+			Pool: t.Pool, VM: t.VM.ID, Forward: t.VM.Forward, Local: t.Self, OtherRegion: t.Remote,
+			ExpectedWait: t.ExpectedWait, RecentWait: t.RecentWait,
 		}
 	}
 	return answer
