upstream, proxy: set a socket deadline only when it changes

An attempt set the deadline of its connection four times, two timers each; one or three remain. The request id comes from the generator of the runtime instead of a system call per call.

--- a/pkg/proxy/call.go
+++ b/pkg/proxy/call.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"encoding/binary"
+	"math/rand/v2"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -174,7 +176,22 @@
 	if len(id) > 0 && len(id) <= maxRequestID && bytes.IndexFunc(id, notVisible) < 0 {
 		return string(id)
 	}
-	return uuid.NewString()
+	fresh, _ := uuid.NewRandomFromReader(fastRandom{}) // the reader returns no error
+	return fresh.String()
+}
+
+// fastRandom reads the generator of the runtime. Request ids need to be distinct, not secret, and the reader of crypto/rand
+// makes a system call for each.
+type fastRandom struct{}
+
+// Read implements io.Reader.
+func (fastRandom) Read(p []byte) (int, error) {
+	var word [8]byte
+	for done := 0; done < len(p); {
+		binary.LittleEndian.PutUint64(word[:], rand.Uint64())
+		done += copy(p[done:], word[:])
+	}
+	return len(p), nil
 }
 
 func notVisible(r rune) bool { return r <= ' ' || r > '~' }
--- a/pkg/upstream/host.go
+++ b/pkg/upstream/host.go
@@ -30,6 +30,25 @@
 	written    int64     // bytes accepted by the kernel in this attempt
 	idleLimit  time.Duration
 	broken     bool // not to be used again, whatever the answer says
+	// deadline is the socket's deadline for both directions, if deadlineKnown. To set it again would cost two timers.
+	deadline      time.Time
+	deadlineKnown bool
+}
+
+// SetDeadline implements net.Conn.
+func (c *conn) SetDeadline(t time.Time) error {
+	if c.deadlineKnown && c.deadline.Equal(t) {
+		return nil
+	}
+	err := c.Conn.SetDeadline(t)
+	c.deadline, c.deadlineKnown = t, err == nil
+	return err
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.deadlineKnown = false
+	return c.Conn.SetReadDeadline(t)
 }
 
 // Write counts the bytes that the kernel accepted.
@@ -216,11 +235,11 @@
 	return errors.CombineErrors(err, setErr)
 }
 
-// put returns a connection whose answer was read to the end.
+// put returns a connection whose answer was read to the end. Its deadline stays, because the next attempt sets its own.
 func (h *host) put(c *conn) {
 	c.lastAnswer = h.opts.Clock.Now()
 	c.idleLimit = 0
-	if c.reader.Buffered() > 0 || c.SetDeadline(time.Time{}) != nil {
+	if c.reader.Buffered() > 0 {
 		h.discard(c)
 		return
 	}
