Wait until the paused process has stopped

Cause: the spec read the state of a process right after SIGSTOP was sent; the kernel delivers it later, so 1 of 3 runs saw state R. Ruled out: a wrong process: the pid is the one that stops a moment later. Change: the check waits for the same state T. Conclusion: as strict as before, without the race.

--- a/internal/lab/cluster/cluster_test.go
+++ b/internal/lab/cluster/cluster_test.go
@@ -44,7 +44,8 @@
 		c := start(ctx)
 		vm := c.VMs()[1]
 		Expect(vm.Process().Pause()).To(Succeed())
-		Expect(os.ReadFile("/proc/" + pid(vm) + "/stat")).To(ContainSubstring(") T "))
+		// The kernel delivers the signal after the call that sends it has returned.
+		Eventually(os.ReadFile).WithArguments("/proc/" + pid(vm) + "/stat").Should(ContainSubstring(") T "))
 		Expect(vm.Process().Resume()).To(Succeed())
 		before := pid(vm)
 		vm.Kill()
