Add make fuzz

Cause: the Makefile named the target without a rule. Ruled out: a list of targets by hand, which goes stale. Change: every fuzz target under pkg/ runs for FUZZTIME (10 s).

--- a/Makefile
+++ b/Makefile
@@ -22,3 +22,11 @@
 
 chaos: build ## two minutes of faults under load
 	bin/hornbeamlab chaos --bin bin
+
+FUZZTIME ?= 10s
+
+fuzz: ## runs every fuzz target for FUZZTIME
+	@grep -rn --include='*_test.go' -o '^func Fuzz[A-Za-z]*' pkg | sed 's/:[0-9]*:func / /' | while read file target; do \
+		echo "$$target in $$(dirname $$file)"; \
+		$(GO) test -run '^$$' -fuzz "^$$target\$$" -fuzztime $(FUZZTIME) ./$$(dirname $$file) || exit 1; \
+	done
