dispatch: give a slot only to a request that has time to run

Cause: in a flood the requests at the head of a queue have little time left. They were sent, cut at their deadline, and closed their connection; the new ones are paced at 50/s per server, so that later calls failed for want of a connection.

Ruled out: to raise the pacing (a new connection costs a server 1 ms); the wait of 100 ms for a new connection is in place and not enough for this many.

Change: while another request of the class waits, a request with less than twice the mean service time left is refused as deadline_too_short, not run.

The test fails without the change.

--- a/pkg/dispatch/pool.go
+++ b/pkg/dispatch/pool.go
@@ -208,6 +208,9 @@
 	if !r.Deadline.IsZero() && !r.Deadline.After(now) {
 		return nil, expired()
 	}
+	if p.tooLate(now, r, c) {
+		return nil, refusal(problem.ReasonDeadlineTooShort, "the time left is too short to run the request", p.expectedWait(c))
+	}
 	s := p.choose(now, r, lastResort)
 	if s == nil {
 		return nil, refusal(problem.ReasonNoServer, "no other server is free", 0)
@@ -218,6 +221,19 @@
 	return &Lease{state: s, server: s.server, class: c, granted: now}, nil
 }
 
+// runTime is the time in multiples of the mean that a request needs to have left while others of its class wait. With
+// exponential service times six of seven such requests end in time.
+const runTime = 2
+
+// tooLate tells whether r would probably be cut at its deadline while another request of its class could use the slot. In a
+// flood the requests at the head of the queue have little time left; each cut one costs a slot and a connection for nothing.
+func (p *Pool) tooLate(now time.Time, r *Request, c priority.Class) bool {
+	if r.Deadline.IsZero() || p.queue.Len(c) == 0 {
+		return false
+	}
+	return r.Deadline.Sub(now).Seconds() < runTime*p.latency[c].mean
+}
+
 // Finish takes a slot back and learns from the result. A second call with the same lease does nothing.
 func (p *Pool) Finish(now time.Time, l *Lease, r Result) {
 	if l.done {
--- a/pkg/dispatch/pool_test.go
+++ b/pkg/dispatch/pool_test.go
@@ -222,6 +222,38 @@
 	}
 })
 
+// Guards against slots that are spent in a flood on requests that are cut at their deadline.
+var _ = DescribeTable("gives a slot to a request that has time to run", func(left time.Duration, others bool, granted bool) {
+	p := newPooled(fleet(1, 1))
+	p.settle(400, func(string) dispatch.Result { return ok(10 * time.Millisecond) })
+	for w := range p.waiting {
+		p.pool.Cancel(w)
+		delete(p.waiting, w)
+	}
+	p.offer(dispatch.Request{})
+	p.pool.Dispatch(p.now, p.decide(GinkgoT()))
+	late, refused := p.offer(dispatch.Request{Deadline: p.now.Add(2 * left)}) // not yet last in, first out
+	Expect(refused).To(BeNil())
+	if others {
+		p.offer(dispatch.Request{Deadline: p.now.Add(time.Second)})
+	}
+	p.now = p.now.Add(left)
+	p.finish(0, ok(10*time.Millisecond))
+	var got *dispatch.Lease
+	p.pool.Dispatch(p.now, func(w *dispatch.Waiter, l *dispatch.Lease, refused *problem.Problem) {
+		p.decide(GinkgoT())(w, l, refused)
+		if w == late {
+			got = l
+		}
+	})
+	Expect(got != nil).To(Equal(granted))
+	Expect(p.leases).To(HaveLen(1), "the slot is used")
+},
+	Entry("enough time", 60*time.Millisecond, true, true),
+	Entry("too little time, others wait", 15*time.Millisecond, true, false),
+	Entry("too little time, alone", 15*time.Millisecond, false, true),
+)
+
 // Guards against servers that get calls although they cannot serve them, and servers that never return.
 var _ = DescribeTable("takes a faulty server out and back",
 	func(fault dispatch.Result, allowedCalls int) {
