operation: keep leases alive by promises of all VMs while the log fails

Cause: leases were renewed through the log only, so own keys stopped 8 s after the log did.

Change: a holder whose log calls fail or hang, and whose lease has less than half left, asks every listed VM and every member that is not dead (operation.keep) not to claim its ranges for the takeover delay. It extends the lease to the time before the question + 8 s only if all promised and the VM list was read within 10 s. Ranges under transfer are left out. A VM refuses unless its table shows exactly the named epochs as the asker's, while its own claim may still land, before it has reached the log's head, or when it has heard another process under the asker's id. A promise drops memory handed over for a release that is not read. A new owner that is asked about an older epoch starts its window again.

Ruled out: extending inside Step, because a log call that hangs holds it up.

--- a/pkg/membership/service.go
+++ b/pkg/membership/service.go
@@ -68,10 +68,12 @@
 	failed  chan string
 	checked chan bool
 	listed  chan []vmlist.VM
-	syncs   chan syncRequest
-	synced  chan []MemberEntry
-	leave   chan struct{}
-	sending chan struct{}
+	// listRead is the time before the last successful read of the VM list.
+	listRead atomic.Pointer[time.Time]
+	syncs    chan syncRequest
+	synced   chan []MemberEntry
+	leave    chan struct{}
+	sending  chan struct{}
 
 	current    atomic.Pointer[snapshot]
 	lastTick   atomic.Int64 // Options.Elapsed in nanoseconds
--- a/pkg/membership/view.go
+++ b/pkg/membership/view.go
@@ -77,6 +77,14 @@
 	return nil
 }
 
+// ListReadAt returns the time before the last successful read of the VM list; zero if there was none.
+func (s *Service) ListReadAt() time.Time {
+	if at := s.listRead.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
+
 // SubscribeServers returns a channel that holds one value after any number of changes of Servers or Listed.
 func (s *Service) SubscribeServers() <-chan struct{} { return s.servers.subscribe() }
 
@@ -121,6 +129,7 @@
 func (s *Service) pollList(ctx context.Context) {
 	defer s.running.Done()
 	for first := true; ; first = false {
+		asked := s.options.Clock.Now()
 		vms, changed, err := s.options.List.Get(ctx)
 		if err != nil {
 			klog.V(2).InfoS("VM list not read", "err", err)
@@ -131,6 +140,9 @@
 				return
 			}
 		}
+		if err == nil {
+			s.listRead.Store(&asked)
+		}
 		select {
 		case <-s.options.Clock.After(Interval):
 		case <-ctx.Done():
--- a/pkg/operation/cluster_test.go
+++ b/pkg/operation/cluster_test.go
@@ -18,6 +18,8 @@
 	clock   *clock.Manual
 	first   int64
 	records []platformlog.Record
+	// delayed are appended records that have not taken effect yet.
+	delayed []json.RawMessage
 }
 
 // logView is one VM's way to the log, with its faults.
@@ -26,6 +28,10 @@
 	// down refuses everything; lose is the number of appends whose answer is lost after they took effect.
 	down bool
 	lose int
+	// late is the number of appends that take effect only when they land.
+	late int
+	// hang, if set, takes a value when a read starts; the read ends with the next one.
+	hang chan struct{}
 }
 
 func (v *logView) Append(_ context.Context, _ string, data any) (int64, error) {
@@ -36,6 +42,11 @@
 	if err != nil {
 		return 0, err
 	}
+	if v.late > 0 {
+		v.late--
+		v.log.delayed = append(v.log.delayed, text)
+		return 0, platformlog.ErrUnknownAppend
+	}
 	offset := v.log.first + int64(len(v.log.records))
 	v.log.records = append(v.log.records, platformlog.Record{Offset: offset, Data: text})
 	if v.lose > 0 {
@@ -46,6 +57,10 @@
 }
 
 func (v *logView) Read(_ context.Context, _ string, from int64, _ time.Duration) (platformlog.Batch, error) {
+	if v.hang != nil {
+		<-v.hang
+		<-v.hang
+	}
 	if v.down {
 		return platformlog.Batch{}, platformlog.ErrUnavailable
 	}
@@ -55,6 +70,14 @@
 	return b, nil
 }
 
+// land lets the delayed records take effect.
+func (l *fakeLog) land() {
+	for _, text := range l.delayed {
+		l.records = append(l.records, platformlog.Record{Offset: l.first + int64(len(l.records)), Data: text})
+	}
+	l.delayed = nil
+}
+
 // expire drops the oldest n records.
 func (l *fakeLog) expire(n int) {
 	n = min(n, len(l.records))
@@ -84,10 +107,17 @@
 	loseHandover int
 	// lost are the chunks whose confirmation was lost.
 	lost []operation.Chunk
+	// listRead says that the VM list can be read; hidden are the running VMs that it does not show yet, and gone are the
+	// ended VMs that it still shows.
+	listRead     bool
+	hidden, gone map[string]bool
+	// cuts are the pairs of VMs that do not reach each other.
+	cuts map[[2]string]bool
 }
 
 func newCluster(ids ...string) *cluster {
-	c := &cluster{clock: clock.NewManual(testStart), vms: map[string]*vm{}, ids: ids}
+	c := &cluster{clock: clock.NewManual(testStart), vms: map[string]*vm{}, ids: ids,
+		hidden: map[string]bool{}, gone: map[string]bool{}, cuts: map[[2]string]bool{}}
 	c.log = &fakeLog{clock: c.clock}
 	for _, id := range ids {
 		c.start(id)
@@ -103,8 +133,9 @@
 	v := &vm{log: &logView{log: c.log}, self: self}
 	ledger := operation.NewLedger(c.clock.Now())
 	v.ranges = operation.NewRangeManager(operation.RangeOptions{
-		Clock: c.clock, Log: v.log, Peers: c, Ledger: ledger, Self: self, Alive: c.alive,
-		Go: func(f func()) { v.sends = append(v.sends, f) },
+		Clock: c.clock, Log: v.log, Peers: network{c, id}, Ledger: ledger, Self: self, Alive: c.alive,
+		Voters: func() ([]string, bool) { return c.voters(id), c.listRead },
+		Go:     func(f func()) { v.sends = append(v.sends, f) },
 	})
 	v.Coordinator = operation.NewCoordinator(operation.Options{
 		Clock: c.clock, Codec: operation.NewCodec(testSecret), Self: self, Ledger: ledger, Ranges: v.ranges,
@@ -122,7 +153,21 @@
 	return all
 }
 
+// network is the peer network as one VM reaches it.
+type network struct {
+	*cluster
+	self string
+}
+
 // Handover implements operation.Peers.
+func (n network) Handover(ctx context.Context, id string, chunk operation.Chunk) error {
+	if n.cuts[pair(id, n.self)] {
+		return errors.New("unreachable")
+	}
+	return n.cluster.Handover(ctx, id, chunk)
+}
+
+// Handover delivers a chunk.
 func (c *cluster) Handover(_ context.Context, id string, chunk operation.Chunk) error {
 	text, _ := json.Marshal(chunk)
 	var arrived operation.Chunk
@@ -142,6 +187,37 @@
 	return err
 }
 
+// Keep implements operation.Peers. It is called from goroutines of the asking VM.
+func (c *cluster) Keep(_ context.Context, id string, r operation.KeepRequest) error {
+	v := c.vms[id]
+	if v == nil || v.paused || c.cuts[pair(id, r.VM)] {
+		return errors.New("unreachable")
+	}
+	return v.ranges.Promise(r)
+}
+
+func pair(a, b string) [2]string { return [2]string{min(a, b), max(a, b)} }
+
+// voters returns what the list and the heartbeats show to one VM.
+func (c *cluster) voters(self string) (ids []string) {
+	for id, v := range c.vms {
+		if !c.hidden[id] || !v.paused && !c.cuts[pair(id, self)] {
+			ids = append(ids, id)
+		}
+	}
+	for id := range c.gone {
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// keep lets one VM extend its leases without the log.
+func (c *cluster) keep(id string) {
+	if v := c.vms[id]; v != nil && !v.paused {
+		v.ranges.Keep(context.Background())
+	}
+}
+
 // step lets one VM read and act once.
 func (c *cluster) step(id string) {
 	if v := c.vms[id]; v != nil && !v.paused {
@@ -172,6 +248,7 @@
 			for _, id := range c.ids {
 				c.step(id)
 				c.send(id)
+				c.keep(id)
 			}
 		}
 	}
--- a/pkg/operation/export_test.go
+++ b/pkg/operation/export_test.go
@@ -17,3 +17,10 @@
 
 // DecodeTicketForTest decodes an unsigned ticket.
 var DecodeTicketForTest = decodeTicket
+
+// EpochForTest returns the epoch of a range by the table.
+func (m *RangeManager) EpochForTest(keyRange int) int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.table.Ranges[keyRange].Epoch
+}
--- a/pkg/operation/handover.go
+++ b/pkg/operation/handover.go
@@ -16,10 +16,12 @@
 // ErrHandoverRefused reports a chunk that the successor cannot take: out of order, or its memory is full.
 var ErrHandoverRefused = errors.New("operation handover refused")
 
-// Peers sends handover chunks to other VMs.
+// Peers sends messages about key ranges to other VMs.
 type Peers interface {
 	// Handover returns once the VM has stored the chunk.
 	Handover(ctx context.Context, vm string, chunk Chunk) error
+	// Keep returns nil if the VM promised not to claim the ranges of r for TakeoverDelay.
+	Keep(ctx context.Context, vm string, r KeepRequest) error
 }
 
 // Chunk is one part of the memory of a range.
--- a/pkg/operation/operation.go
+++ b/pkg/operation/operation.go
@@ -19,7 +19,7 @@
 	MemoryWindow = 5 * time.Minute
 	// MaxDeadline is the longest time that an operation may take from its start.
 	MaxDeadline = 30 * time.Second
-	// LeaseDuration is the validity of a lease, counted from before its renewal was sent.
+	// LeaseDuration is the validity of a lease, counted from before its renewal, or the question to all VMs, was sent.
 	LeaseDuration = 8 * time.Second
 	// RenewInterval is the time between two renewals. Every VM reads every renewal, so a shorter one costs all VMs bytes;
 	// with this one, a lease has at least LeaseDuration - RenewInterval = 4 s left while the log answers.
--- a/pkg/operation/rangeact.go
+++ b/pkg/operation/rangeact.go
@@ -79,15 +79,39 @@
 		}
 	}
 	m.sent[r.Sequence] = sent
+	added := m.noteClaim(r)
+	m.logCall = sent
 	m.mu.Unlock()
 	_, err := m.Log.Append(ctx, Stream, r)
 	m.mu.Lock()
+	m.logCall = time.Time{}
+	m.logFailed = m.logFailed || err != nil
+	if errors.Is(err, platformlog.ErrUnavailable) {
+		// The append has not taken effect. An earlier claim on the same base may still do.
+		for _, keyRange := range added {
+			delete(m.claimed, keyRange)
+		}
+	}
 	if errors.Is(err, platformlog.ErrUnknownAppend) {
 		return nil
 	}
 	return err
 }
 
+// noteClaim remembers the ranges that a claim is under way for and returns those that had none on this base.
+func (m *RangeManager) noteClaim(r LogRecord) (added []int) {
+	if r.Kind != KindClaim {
+		return nil
+	}
+	for _, ref := range r.Ranges {
+		if base, ok := m.claimed[ref.Range]; !ok || base != ref.Base {
+			m.claimed[ref.Range] = ref.Base
+			added = append(added, ref.Range)
+		}
+	}
+	return added
+}
+
 // renewalDue reports that the last renewal that was read back is old. One that was sent and not read back, because the
 // append failed or its answer was lost, is repeated after pollInterval.
 func (m *RangeManager) renewalDue(now time.Time) bool {
--- a/pkg/operation/ranges.go
+++ b/pkg/operation/ranges.go
@@ -51,6 +51,10 @@
 	// Alive returns the entry VMs that are alive and not leaving, in all regions that this VM hears from. At most
 	// MaxHolders of them hold ranges.
 	Alive func() []Candidate
+	// Voters returns the VMs that have to promise before a lease is extended without the log: every entry VM that the
+	// platform's list shows and every member that is not dead. known is false unless the list was read lately. Default:
+	// leases are renewed through the log only.
+	Voters func() (vms []string, known bool)
 	// Go runs a transfer beside the manager's own goroutine. Default: a new goroutine.
 	Go func(func())
 }
@@ -67,7 +71,8 @@
 	incarnation uint64
 }
 
-// RangeManager keeps the leases of this VM's ranges and implements Ranges. Run is its only goroutine.
+// RangeManager keeps the leases of this VM's ranges and implements Ranges. Run has one goroutine for the log and one that
+// extends leases while the log fails.
 type RangeManager struct {
 	RangeOptions
 	holdings atomic.Pointer[[RangeCount]Holding]
@@ -98,6 +103,16 @@
 	chosen []string
 	// window is the number of records at the log's end that this VM reads to start; 0 before the first read.
 	window int64
+	// reachedHead says that this VM has read up to the log's head since its start.
+	reachedHead bool
+	// claimed is the epoch that the last claim of each range was based on. It does not count once the epoch has changed.
+	claimed map[int]int64
+	// logFailed says that a call to the log failed since the last renewal was read back; logCall is the start of the
+	// call under way, zero if there is none.
+	logFailed bool
+	logCall   time.Time
+	// lastKeep is when the other VMs were last asked to keep the leases.
+	lastKeep time.Time
 	// unsettled says that at the last step a range had no owner or one that should not hold ranges.
 	unsettled bool
 	// unclean counts the ranges of one batch that this VM got without their memory.
@@ -119,6 +134,7 @@
 		heard:        map[process]time.Time{},
 		heardVM:      map[string]time.Time{},
 		backoff:      map[string]time.Time{},
+		claimed:      map[int]int64{},
 	}
 	m.holdings.Store(&[RangeCount]Holding{})
 	return m
@@ -129,6 +145,9 @@
 
 // Run keeps the leases until ctx ends.
 func (m *RangeManager) Run(ctx context.Context) {
+	var keeper sync.WaitGroup
+	defer keeper.Wait()
+	keeper.Go(func() { m.keepRun(ctx) })
 	for ctx.Err() == nil {
 		more, err := m.Step(ctx)
 		if err != nil {
@@ -160,11 +179,12 @@
 func (m *RangeManager) Step(ctx context.Context) (more bool, err error) {
 	// Silence is measured up to the time before the read, so that a pause after the read looks like no silence.
 	before := m.Clock.Now()
-	batch, err := m.Log.Read(ctx, Stream, m.next(), 0)
+	batch, err := m.Log.Read(ctx, Stream, m.next(before), 0)
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.logCall = time.Time{}
 	if err != nil {
-		m.headSince = time.Time{}
+		m.headSince, m.logFailed = time.Time{}, true
 		return false, err
 	}
 	now := m.Clock.Now()
@@ -182,6 +202,7 @@
 	if m.headSince.IsZero() {
 		m.headSince = now
 	}
+	m.reachedHead = true
 	return m.act(ctx, before, batch.Retention())
 }
 
@@ -215,9 +236,11 @@
 	return true
 }
 
-func (m *RangeManager) next() int64 {
+// next returns the offset to read from and notes the start of the read.
+func (m *RangeManager) next(now time.Time) int64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.logCall = now
 	return m.table.Next
 }
 
@@ -336,6 +359,7 @@
 		if sent.After(m.confirmed) {
 			m.confirmed = sent
 		}
+		m.logFailed = false
 		for _, h := range m.holds {
 			h.extend(end)
 		}
--- a/pkg/server/fleet.go
+++ b/pkg/server/fleet.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/samber/lo"
 
+	"github.com/hornbeamway/hornbeamway/pkg/clock"
 	"github.com/hornbeamway/hornbeamway/pkg/membership"
 	"github.com/hornbeamway/hornbeamway/pkg/operation"
 	"github.com/hornbeamway/hornbeamway/pkg/peer"
@@ -18,8 +20,12 @@
 	methodConfirm  = "preset.confirm"
 	methodFetch    = "preset.fetch"
 	methodHandover = "operation.handover"
+	methodKeep     = "operation.keep"
 )
 
+// maxListAge is the age of the VM list up to which it tells whom a lease extension has to ask.
+const maxListAge = 10 * time.Second
+
 // ErrUnknownVM reports a VM whose peer address is not known.
 var ErrUnknownVM = errors.New("peer address of the VM is not known")
 
@@ -27,11 +33,14 @@
 type fleet struct {
 	members *membership.Service
 	pool    *peer.Pool
+	clock   clock.Clock
 }
 
 var (
 	_ preset.Fleet = (*fleet)(nil)
 	_ preset.Peers = (*fleet)(nil)
+
+	_ operation.Peers = (*fleet)(nil)
 )
 
 // Self implements preset.Fleet.
@@ -88,6 +97,28 @@
 	return err
 }
 
+// Keep implements operation.Peers.
+func (f *fleet) Keep(ctx context.Context, vm string, r operation.KeepRequest) error {
+	_, err := callVM[struct{}](ctx, f, vm, methodKeep, r)
+	return err
+}
+
+// voters returns the VMs that have to promise before a lease is extended without the log.
+func (f *fleet) voters() (vms []string, known bool) {
+	// The time is read first: a list that arrives in between is then used with the older time.
+	read := f.members.ListReadAt()
+	vms, known = f.Listed()
+	if !known || read.IsZero() || f.clock.Now().Sub(read) > maxListAge {
+		return nil, false
+	}
+	for _, m := range f.members.Members() {
+		if m.State != membership.Dead {
+			vms = append(vms, m.ID)
+		}
+	}
+	return vms, true
+}
+
 func callVM[Resp any](ctx context.Context, f *fleet, vm, method string, params any) (Resp, error) {
 	address, err := f.address(vm)
 	if err != nil {
@@ -97,9 +128,12 @@
 	return peer.Call[Resp](ctx, f.pool, address, method, params)
 }
 
-// registerHandover serves the operation memory that other entry VMs hand over.
-func registerHandover(server *peer.Server, ranges *operation.RangeManager) {
+// registerOperations serves the operation memory that other entry VMs hand over, and their lease extensions.
+func registerOperations(server *peer.Server, ranges *operation.RangeManager) {
 	peer.Handle(server, methodHandover, func(_ context.Context, chunk operation.Chunk) (struct{}, error) {
 		return struct{}{}, ranges.Receive(chunk)
 	})
+	peer.Handle(server, methodKeep, func(_ context.Context, r operation.KeepRequest) (struct{}, error) {
+		return struct{}{}, ranges.Promise(r)
+	})
 }
--- a/pkg/server/providers.go
+++ b/pkg/server/providers.go
@@ -98,7 +98,8 @@
 }
 
 func newFleet(i do.Injector) (*fleet, error) {
-	return &fleet{members: do.MustInvoke[*membership.Service](i), pool: do.MustInvoke[*peer.Pool](i)}, nil
+	return &fleet{members: do.MustInvoke[*membership.Service](i), pool: do.MustInvoke[*peer.Pool](i),
+		clock: do.MustInvoke[clock.Clock](i)}, nil
 }
 
 func newPresetOptions(i do.Injector) (preset.Options, error) {
@@ -159,8 +160,9 @@
 		Ledger: do.MustInvoke[*operation.Ledger](i),
 		Self:   do.MustInvoke[operation.Self](i),
 		Alive:  f.staying,
+		Voters: f.voters,
 	})
-	registerHandover(do.MustInvoke[*peer.Server](i), ranges)
+	registerOperations(do.MustInvoke[*peer.Server](i), ranges)
 	return ranges, nil
 }
 
