proxy: pace bodies to and from owners in the other region

Cause: the hop to an operation's owner never counted as crossing the region link, because the owner's region was not known. An answer that the owner had read into memory to keep it was paced twice, and one that it relayed from another dispatcher not at all. A body that waited for the link could wait beyond the call's deadline, and one that was sent again on a new connection was not paced the second time.

Ruled out: the region in tickets and claims; it would lengthen every ticket although the members are known to every VM.

Change: operation.Options.RegionOf gives Owner.Region; pkg/server takes it from the members, then from the VM list. Answers are paced in one place, when the forwarded call has its answer; bytes that were put back with Body.Unread are paced when they are read again. The wait for the link ends at the deadline.

The new tests were not run against the old code to the end: the test of the deadline hangs there.

Conclusion: with a known owner, both directions of the owner hop are paced and counted once.

--- a/pkg/operation/coordinator.go
+++ b/pkg/operation/coordinator.go
@@ -20,6 +20,8 @@
 	VM          string
 	Incarnation uint64
 	Forward     string
+	// Region is the owner's region, empty if it is not known.
+	Region string
 	// Local says that it is this process.
 	Local bool
 }
@@ -62,11 +64,12 @@
 
 // Coordinator decides for the proxy where an operation runs and whether it may run. It is safe for concurrent use.
 type Coordinator struct {
-	clock  clock.Clock
-	codec  *Codec
-	issuer *Issuer
-	ledger *Ledger
-	ranges Ranges
+	clock    clock.Clock
+	codec    *Codec
+	issuer   *Issuer
+	ledger   *Ledger
+	ranges   Ranges
+	regionOf func(vm string) string
 }
 
 // Options are the parts of a Coordinator.
@@ -76,16 +79,23 @@
 	Self   Self
 	Ledger *Ledger
 	Ranges Ranges
+	// RegionOf returns the region of an entry VM, empty if it is not known. Neither tickets nor claims carry the region,
+	// because the members are known anyway. Default: no region is known.
+	RegionOf func(vm string) string
 }
 
 // NewCoordinator returns a coordinator for one process.
 func NewCoordinator(o Options) *Coordinator {
+	if o.RegionOf == nil {
+		o.RegionOf = func(string) string { return "" }
+	}
 	return &Coordinator{
-		clock:  o.Clock,
-		codec:  o.Codec,
-		issuer: NewIssuer(o.Codec, o.Clock, o.Self),
-		ledger: o.Ledger,
-		ranges: o.Ranges,
+		clock:    o.Clock,
+		codec:    o.Codec,
+		issuer:   NewIssuer(o.Codec, o.Clock, o.Self),
+		ledger:   o.Ledger,
+		ranges:   o.Ranges,
+		regionOf: o.RegionOf,
 	}
 }
 
@@ -106,7 +116,12 @@
 		return Owner{}, refusal(fasthttp.StatusServiceUnavailable, problem.ReasonOwnerUnreachable,
 			"no VM owns the range of this key; use a ticket").WithRetryAfter(retryDelay)
 	}
-	return h.Owner, nil
+	return c.withRegion(h.Owner), nil
+}
+
+func (c *Coordinator) withRegion(o Owner) Owner {
+	o.Region = c.regionOf(o.VM)
+	return o
 }
 
 func (c *Coordinator) locateTicket(key string) (Owner, error) {
@@ -123,7 +138,7 @@
 		return Owner{}, refusal(fasthttp.StatusServiceUnavailable, problem.ReasonOwnerUnreachable,
 			"the process that issued the ticket has ended; take a new ticket")
 	}
-	return owner, nil
+	return c.withRegion(owner), nil
 }
 
 // refusal is a problem whose attempt was not run while earlier attempts may have been.
--- a/pkg/proxy/call.go
+++ b/pkg/proxy/call.go
@@ -31,10 +31,8 @@
 	// body is the whole body if stream is nil. Otherwise the body is only on the caller's connection.
 	body   []byte
 	stream *bodyStream
-	// crossing says that the request body goes to a pool in the other region.
+	// crossing says that the request body is sent to the other region: to the owner, a dispatcher or a backend server.
 	crossing bool
-	// answerPace is called with the bytes of the answer before they are sent; nil: not paced.
-	answerPace func(bytes int) error
 	// mayHaveRun is set once an attempt may have been run, so that no later refusal is told as not run.
 	mayHaveRun atomic.Bool
 	// beforeWrite is checked right before the request leaves this VM; nil: nothing to check.
--- a/pkg/proxy/dispatch.go
+++ b/pkg/proxy/dispatch.go
@@ -183,12 +183,7 @@
 // which tells whether the other side is well.
 func (p *Proxy) send(ctx context.Context, t *upstream.Transport, c *call, a upstream.Attempt, req *fasthttp.Request,
 	resp *fasthttp.Response) error {
-	if c.crossing {
-		if err := p.paceRequest(ctx, c, req); err != nil {
-			return p.paceError(c, a.Address, err)
-		}
-	}
-	err := t.RoundTrip(ctx, a, req, resp)
+	err := p.sendOnce(ctx, t, c, a, req, resp)
 	var failure *upstream.Error
 	if err == nil || !errors.As(err, &failure) || !failure.Reused || failure.Cancelled {
 		return err
@@ -204,6 +199,23 @@
 	if failure.Written {
 		c.mayHaveRun.Store(true)
 	}
+	return p.sendOnce(ctx, t, c, a, req, resp)
+}
+
+// sendOnce makes an attempt on one connection. A body for the other region waits for the region link until the deadline
+// of the call.
+func (p *Proxy) sendOnce(ctx context.Context, t *upstream.Transport, c *call, a upstream.Attempt, req *fasthttp.Request,
+	resp *fasthttp.Response) error {
+	if c.crossing {
+		paceCtx, cancel := ctx, func() {}
+		if !c.deadline.IsZero() {
+			paceCtx, cancel = context.WithDeadline(ctx, c.deadline)
+		}
+		defer cancel()
+		if err := p.paceRequest(paceCtx, c, req); err != nil {
+			return p.paceError(c, a.Address, err)
+		}
+	}
 	return t.RoundTrip(ctx, a, req, resp)
 }
 
@@ -279,9 +291,6 @@
 	resp.Header.Del(headerRefused)
 	resp.Header.Del(headerLoad)
 	if stream, ok := resp.BodyStream().(*upstream.Body); ok {
-		if c.answerPace != nil {
-			stream.Pace(c.answerPace)
-		}
 		// The latency ends with the head of the answer: how fast the caller reads says nothing about the server.
 		stream.OnClose(func() { slot.Release(dispatch.Result{Class: class, Latency: latency}) })
 		return result
--- a/pkg/proxy/fixture_test.go
+++ b/pkg/proxy/fixture_test.go
@@ -146,6 +146,7 @@
 	name             string
 	callers, forward string
 	pools            *fakePools
+	regions          map[string]string // of the owners, by VM id
 	placement        *fakePlacement
 	operations       *operation.Coordinator
 	stop             func()
@@ -170,13 +171,15 @@
 		tb.Fatal(err)
 	}
 	callers, forward := listen(tb), listen(tb)
-	v := &vm{name: id, callers: callers.Addr().String(), forward: forward.Addr().String()}
+	v := &vm{name: id, callers: callers.Addr().String(), forward: forward.Addr().String(),
+		regions: map[string]string{}}
 	v.pools = &fakePools{servers: servers}
 	v.placement = &fakePlacement{targets: []proxy.Target{localTarget}}
 	self := operation.Self{VM: id, Incarnation: 1, Forward: netip.MustParseAddrPort(v.forward)}
 	v.operations = operation.NewCoordinator(operation.Options{
 		Clock: clock.System{}, Codec: operation.NewCodec(testPeerKey), Self: self,
 		Ledger: operation.NewLedger(time.Now()), Ranges: operation.SingleVM{Self: self},
+		RegionOf: func(vm string) string { return v.regions[vm] },
 	})
 	options := proxy.Options{
 		Clock: clock.System{}, PeerKey: testPeerKey, Region: "west",
--- a/pkg/proxy/forward.go
+++ b/pkg/proxy/forward.go
@@ -159,9 +159,6 @@
 	}
 	c, err := p.newCall(ctx, effective.Content)
 	if err == nil {
-		if region != "" && region != p.Region {
-			c.answerPace = p.linkPace(context.Background(), c)
-		}
 		err = p.serveHop(c, kind, pool)
 	}
 	if err != nil {
@@ -172,17 +169,25 @@
 	if kind == hopDispatch {
 		p.reportLoad(ctx, pool)
 	}
-	p.paceAnswer(c)
+	p.paceAnswer(c, region)
 	return c
 }
 
-// paceAnswer makes an answer in memory wait for its share of the region link. A streamed one waits as it is sent.
-func (p *Proxy) paceAnswer(c *call) {
-	if c.answerPace == nil || c.ctx.Response.IsBodyStream() || len(c.ctx.Response.Body()) == 0 {
+// paceAnswer makes an answer to an entry VM of the other region wait for its share of the region link: one in memory waits
+// here, a streamed one as it is sent.
+func (p *Proxy) paceAnswer(c *call, region string) {
+	if c.route == nil || region == "" || region == p.Region {
+		return
+	}
+	pace := p.linkPace(context.Background(), c)
+	if stream, ok := c.ctx.Response.BodyStream().(*upstream.Body); ok {
+		stream.Pace(pace)
 		return
 	}
-	// An answer is sent even if its share never came, because the call was run.
-	_ = c.answerPace(len(c.ctx.Response.Body()))
+	if body := c.ctx.Response.Body(); len(body) > 0 {
+		// An answer is sent even if its share never came, because the call was run.
+		_ = pace(len(body))
+	}
 }
 
 func (p *Proxy) serveHop(c *call, kind string, pool dispatch.PoolKey) error {
--- a/pkg/proxy/operation.go
+++ b/pkg/proxy/operation.go
@@ -140,7 +140,7 @@
 // forwardToOwner sends the call to the VM that owns its key. Only that VM may run it, so there is no second way. When it
 // cannot be reached, what became of earlier attempts is not known.
 func (p *Proxy) forwardToOwner(c *call, owner operation.Owner) error {
-	c.crossing = false
+	c.crossing = owner.Region != "" && owner.Region != p.Region
 	err := p.forwardCall(context.Background(), c, hop{kind: hopOwner, vm: owner.VM, address: owner.Forward})
 	var failed *attemptError
 	if !errors.As(err, &failed) || failed.answer.Attempt != problem.NotRun {
--- a/pkg/proxy/refusal_test.go
+++ b/pkg/proxy/refusal_test.go
@@ -351,6 +351,14 @@
 	return r.err
 }
 
+// busyPacer never gives a share.
+type busyPacer struct{}
+
+func (busyPacer) Wait(ctx context.Context, _ priority.Class, _ int) error {
+	<-ctx.Done()
+	return ctx.Err()
+}
+
 var _ = Describe("the region link", func() {
 	// Guards against bodies that cross the region link unpaced, or that are paced at the wrong end.
 	It("paces request bodies and answers at the sending end", func() {
@@ -378,4 +386,49 @@
 		near.err = context.DeadlineExceeded
 		Expect(told(do("POST", entry.url("/orders"), "four", "Idempotency-Key", "k")).Outcome).To(Equal(problem.NotRun))
 	})
+
+	// Guards against operations that cross the region link to their owner unpaced, answers that are paced twice because
+	// the owner reads them into memory first, and pacing of owners in the same region.
+	DescribeTable("paces operations whose owner is in the other region", func(ownerRegion string, answer int, request, answered int64) {
+		server := backend(func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			_, _ = w.Write(make([]byte, answer))
+		})
+		near, far := &recordingPacer{}, &recordingPacer{}
+		owner := newVM(GinkgoTB(), "e1", []string{server}, func(o *proxy.Options) { o.Region, o.Pacer = ownerRegion, far })
+		entry := newVM(GinkgoTB(), "e2", nil, func(o *proxy.Options) { o.Pacer = near })
+		entry.regions["e1"] = ownerRegion
+		Expect(text(do("POST", entry.url("/orders"), "paint", "Idempotency-Key", ticket(owner)))).To(HaveLen(answer))
+		Expect(near.bytes[priority.Transactional].Load()).To(Equal(request))
+		Expect(far.bytes[priority.Transactional].Load()).To(Equal(answered))
+	},
+		Entry("a small answer", "east", 100, int64(5), int64(100)),
+		Entry("an answer that is kept", "east", 40_000, int64(5), int64(40_000)),
+		Entry("an answer that is too large to keep", "east", 200_000, int64(5), int64(200_000)),
+		Entry("the same region", "west", 100, int64(0), int64(0)),
+	)
+
+	// Guards against bytes to a backend server of the other region that this VM dispatches itself and sends unpaced.
+	It("paces calls to backend servers of the other region", func() {
+		near := &recordingPacer{}
+		v := newVM(GinkgoTB(), "e1", []string{backend(func(w http.ResponseWriter, r *http.Request) {
+			// The server of net/http drops the rest of a body once an answer has begun.
+			body, _ := io.ReadAll(r.Body)
+			_, _ = w.Write(body)
+		})}, func(o *proxy.Options) { o.Pacer = near })
+		v.placement.targets = []proxy.Target{{Pool: testPool, VM: "e1", Local: true, OtherRegion: true}}
+		Expect(text(do("PUT", v.url("/view"), "four"))).To(Equal("four"))
+		Expect(near.bytes[priority.Interactive].Load()).To(BeEquivalentTo(4))
+		Expect(text(do("PUT", v.url("/large"), strings.Repeat("x", 200_000)))).To(HaveLen(200_000))
+		Expect(near.bytes[priority.Bulk].Load()).To(BeEquivalentTo(200_000))
+	})
+
+	// Guards against a call that waits for the region link beyond its deadline.
+	It("ends the wait for the link at the deadline", func() {
+		v := newVM(GinkgoTB(), "e1", []string{refusedAddress()}, func(o *proxy.Options) { o.Pacer = busyPacer{} })
+		v.placement.targets = []proxy.Target{{Pool: testPool, VM: "e1", Local: true, OtherRegion: true}}
+		refused := told(do("PUT", v.url("/view"), "four", "X-Deadline-Ms", "50"))
+		Expect(refused.Reason).To(Equal(problem.ReasonDeadline))
+		Expect(refused.Outcome).To(Equal(problem.NotRun))
+	})
 })
--- a/pkg/server/fleet.go
+++ b/pkg/server/fleet.go
@@ -57,6 +57,21 @@
 	})
 }
 
+// regionOf finds the region of a VM among the members, then in the VM list. It is empty for an unknown VM.
+func (f *fleet) regionOf(id string) string {
+	for _, m := range f.members.Members() {
+		if m.ID == id {
+			return m.Region
+		}
+	}
+	for _, v := range f.members.Listed() {
+		if v.ID == id {
+			return v.Region
+		}
+	}
+	return ""
+}
+
 // address finds the peer address of a VM among the members, then in the VM list.
 func (f *fleet) address(vm string) (string, error) {
 	for _, m := range f.members.Members() {
--- a/pkg/server/providers.go
+++ b/pkg/server/providers.go
@@ -170,6 +170,8 @@
 		Self:   do.MustInvoke[operation.Self](i),
 		Ledger: do.MustInvoke[*operation.Ledger](i),
 		Ranges: do.MustInvoke[*operation.RangeManager](i),
+
+		RegionOf: do.MustInvoke[*fleet](i).regionOf,
 	}), nil
 }
 
--- a/pkg/upstream/body.go
+++ b/pkg/upstream/body.go
@@ -32,24 +32,29 @@
 
 // Read implements io.Reader. A body that is cut short ends with io.ErrUnexpectedEOF, never with io.EOF.
 func (b *Body) Read(p []byte) (int, error) {
-	if len(b.unread) > 0 {
+	n, err := b.readNext(p)
+	if n > 0 && b.pace != nil {
+		if paceErr := b.pace(n); paceErr != nil {
+			return 0, paceErr
+		}
+	}
+	return n, err
+}
+
+// readNext reads from the bytes that were put back, then from the connection.
+func (b *Body) readNext(p []byte) (int, error) {
+	switch {
+	case len(b.unread) > 0:
 		n := copy(p, b.unread)
 		b.unread = b.unread[n:]
 		return n, nil
-	}
-	switch {
 	case b.complete:
 		return 0, io.EOF
 	case b.inner == nil:
 		return 0, io.ErrClosedPipe
 	}
 	n, err := b.inner.BodyStream().Read(p)
-	if err = b.advance(n, err); n > 0 && b.pace != nil {
-		if paceErr := b.pace(n); paceErr != nil {
-			return 0, paceErr
-		}
-	}
-	return n, err
+	return n, b.advance(n, err)
 }
 
 // advance notes n bytes and the end of the body. The reader of a body of known length stops at its last byte and does not
