Keep the trailers of an operation's answer

Ruled out: the stream of package upstream: answers too large to be kept pass their trailers. Change: the stored answer has trailers; a replay announces and sends them.

--- a/pkg/operation/ledger.go
+++ b/pkg/operation/ledger.go
@@ -60,6 +60,8 @@
 type Answer struct {
 	Status  int      `json:"status"`
 	Headers []Header `json:"headers,omitempty"`
+	// Trailers are sent behind the body.
+	Trailers []Header `json:"trailers,omitempty"`
 	// Body is kept up to 64 KiB. The ledger keeps the slice, so the caller must not change it afterwards.
 	Body []byte `json:"body,omitempty"`
 	// Truncated says that Body is not the whole body, so the answer must not be kept.
@@ -68,8 +70,10 @@
 
 func (a *Answer) size() int {
 	n := len(a.Body)
-	for _, h := range a.Headers {
-		n += len(h.Name) + len(h.Value) + headerOverhead
+	for _, headers := range [][]Header{a.Headers, a.Trailers} {
+		for _, h := range headers {
+			n += len(h.Name) + len(h.Value) + headerOverhead
+		}
 	}
 	return n
 }
--- a/pkg/proxy/operation.go
+++ b/pkg/proxy/operation.go
@@ -88,6 +88,9 @@
 	for name, value := range resp.Header.All() {
 		answer.Headers = append(answer.Headers, operation.Header{Name: string(name), Value: string(value)})
 	}
+	for _, name := range resp.Header.PeekTrailerKeys() {
+		answer.Trailers = append(answer.Trailers, operation.Header{Name: string(name), Value: string(resp.Header.PeekBytes(name))})
+	}
 	p.Operations.Finish(entry, answer)
 	return nil
 }
@@ -134,6 +137,12 @@
 		resp.Header.Add(h.Name, h.Value)
 	}
 	resp.SetBody(answer.Body)
+	for _, t := range answer.Trailers {
+		if err := resp.Header.AddTrailer(t.Name); err != nil {
+			return errors.Wrapf(err, "trailer %q", t.Name)
+		}
+		resp.Header.Set(t.Name, t.Value)
+	}
 	return nil
 }
 
