Bound the rate of slow request bodies

Cause: only the pause between two parts of a body was bounded, so a caller that sends a byte from time to time could hold its connection for hours. Ruled out: a deadline for the whole body, which cuts long uploads. Change: limits.minBodyRate (1 KiB/s by default, 0B disables), judged on the time spent waiting for the caller, once that exceeds bodyIdleTimeout.

--- a/pkg/config/check.go
+++ b/pkg/config/check.go
@@ -25,6 +25,7 @@
 	// A caller that sends slower than these holds a connection that others could use.
 	maxHeaderTimeout   = unit.Duration(5 * time.Minute)
 	maxBodyIdleTimeout = unit.Duration(10 * time.Minute)
+	maxMinBodyRate     = unit.Size(1 << 20)
 )
 
 var (
@@ -144,6 +145,7 @@
 		outside(l.ConnectionsPerCaller, 1, l.Connections, "limits", "connectionsPerCaller"),
 		outside(l.HeaderTimeout, minTime, maxHeaderTimeout, "limits", "headerTimeout"),
 		outside(l.BodyIdleTimeout, minTime, maxBodyIdleTimeout, "limits", "bodyIdleTimeout"),
+		outside(l.MinBodyRate, 0, maxMinBodyRate, "limits", "minBodyRate"),
 	} {
 		if reason != nil {
 			return reason
--- a/pkg/config/settings.go
+++ b/pkg/config/settings.go
@@ -73,6 +73,9 @@
 	HeaderTimeout unit.Duration `json:"headerTimeout,omitempty"`
 	// BodyIdleTimeout is the longest pause between two parts of a request body, 100ms to 10m. Default 30s.
 	BodyIdleTimeout unit.Duration `json:"bodyIdleTimeout,omitempty"`
+	// MinBodyRate is the least average rate per second of a request body, judged once the caller has been waited for longer
+	// than BodyIdleTimeout; up to 1MiB. Default 1KiB; "0B" disables the check.
+	MinBodyRate unit.Size `json:"minBodyRate,omitempty"`
 }
 
 // Defaults for settings that are left out.
@@ -83,6 +86,7 @@
 	defaultConnectionsPerCaller = 1000
 	defaultHeaderTimeout        = 10 * time.Second
 	defaultBodyIdleTimeout      = 30 * time.Second
+	defaultMinBodyRate          = 1 << 10
 )
 
 // Load reads, completes and checks the settings file at path.
@@ -100,7 +104,8 @@
 
 // Parse decodes, completes and checks settings written in JSON with comments.
 func Parse(data []byte) (*Settings, error) {
-	s := &Settings{}
+	// Zero is a valid rate, so its default is set before the text is read.
+	s := &Settings{Limits: Limits{MinBodyRate: defaultMinBodyRate}}
 	if err := strictjson.Decode(data, s); err != nil {
 		return nil, errors.Mark(err, ErrInvalid)
 	}
--- a/pkg/proxy/conn.go
+++ b/pkg/proxy/conn.go
@@ -6,6 +6,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // Bounds of a connection that is closed while the other side still sends. Closing it at once would reset it, and the
@@ -27,6 +29,8 @@
 	head headScanner
 	// behind counts the bytes read behind the head of the current request.
 	behind int64
+	// blocked is the time for which the body of the current request was waited for.
+	blocked time.Duration
 	// linger says that the other side may still be sending when the connection is closed.
 	linger bool
 
@@ -46,13 +50,29 @@
 	case !c.head.started && !c.wait():
 		return 0, io.EOF
 	}
+	inBody, started := c.head.done, time.Now()
 	n, err := c.Conn.Read(p)
 	if n > 0 {
 		c.received(p[:n])
 	}
+	if inBody && err == nil {
+		c.blocked += time.Since(started)
+		if c.bodyTooSlow() {
+			return n, errSlowBody
+		}
+	}
 	return n, err
 }
 
+// errSlowBody ends a request whose body arrives more slowly than the limit.
+var errSlowBody = errors.New("request body arrives too slowly")
+
+// bodyTooSlow reports a body below the least rate. Only the time spent waiting for the sender counts, so that a slow
+// backend server or the pace of the region link is not held against the caller.
+func (c *serverConn) bodyTooSlow() bool {
+	return c.blocked > c.listener.bodyIdle && float64(c.behind) < c.listener.minBodyRate*c.blocked.Seconds()
+}
+
 // wait notes that the connection waits for a request. It reports false once the connection was stopped.
 func (c *serverConn) wait() bool {
 	c.mu.Lock()
@@ -83,7 +103,7 @@
 // endRequest begins a new request.
 func (c *serverConn) endRequest() {
 	c.head = headScanner{}
-	c.behind = 0
+	c.behind, c.blocked = 0, 0
 }
 
 // Write implements net.Conn. A caller that takes nothing for too long loses the connection, because the answer holds a
--- a/pkg/proxy/head_test.go
+++ b/pkg/proxy/head_test.go
@@ -167,6 +167,25 @@
 		Eventually(v.pools.finished).ShouldNot(BeNil())
 	})
 
+	// Guards against a caller that keeps a connection and a slot by sending a byte from time to time.
+	It("ends a body that arrives below the least rate", func() {
+		v = newVM(GinkgoTB(), "e1", v.pools.servers, func(o *proxy.Options) {
+			o.Limits.BodyIdleTimeout, o.Limits.MinBodyRate = 300e6, 1000
+		})
+		c, err := net.Dial("tcp", v.callers)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(c.Close)
+		_, err = io.WriteString(c, "PUT /view HTTP/1.1\r\nHost: x\r\nContent-Length: 10000\r\n\r\n")
+		Expect(err).NotTo(HaveOccurred())
+		ticker := time.NewTicker(50 * time.Millisecond)
+		DeferCleanup(ticker.Stop)
+		Eventually(func() error {
+			<-ticker.C
+			_, err := io.WriteString(c, "a")
+			return err
+		}, "5s").Should(HaveOccurred())
+	})
+
 	// Guards against a body that is relayed beyond the route's limit.
 	It("refuses bodies above the limit of the route", func() {
 		for _, length := range []string{"Content-Length: 2000000\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n1e8480\r\n"} {
--- a/pkg/proxy/listener.go
+++ b/pkg/proxy/listener.go
@@ -16,6 +16,7 @@
 	net.Listener
 	total, perCaller int
 	bodyIdle         time.Duration
+	minBodyRate      float64 // bytes per second; 0: not checked
 
 	mu       sync.Mutex
 	open     map[*serverConn]struct{}
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -161,6 +161,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	idle := p.Limits.BodyIdleTimeout.Std()
 	limited := newLimitedListener(callers, p.Limits.Connections, p.Limits.ConnectionsPerCaller, idle)
+	limited.minBodyRate = float64(p.Limits.MinBodyRate)
 	peers := newLimitedListener(forward, forwardConcurrency, forwardConcurrency, idle)
 	p.mu.Lock()
 	p.listeners = []*limitedListener{limited, peers}
