--- a/cmd/hornbeamlab/bench.go
+++ b/cmd/hornbeamlab/bench.go
@@ -101,7 +101,7 @@
 func (c *benchCommand) options(duration, warmUp time.Duration) (bench.Options, error) {
 	system, err := c.systemFlags.options()
 	return bench.Options{
-		Cluster: system, Seed: c.Seed, Duration: duration, WarmUp: warmUp,
+		Cluster: system, Seed: c.Seed, Duration: duration, WarmUp: warmUp, KeepLogs: c.Keep,
 		Progress: func(format string, args ...any) { _, _ = fmt.Fprintf(os.Stderr, format, args...) },
 	}, err
 }
--- a/internal/lab/bench/result.go
+++ b/internal/lab/bench/result.go
@@ -142,6 +142,8 @@
 	Seed    uint64
 	// Duration and WarmUp are those of one run.
 	Duration, WarmUp time.Duration
+	// KeepLogs is a directory that receives settings and logs of each scenario. Empty: none.
+	KeepLogs string
 	// Progress receives a line per finished run.
 	Progress func(format string, args ...any)
 }
--- a/internal/lab/bench/scenariorun.go
+++ b/internal/lab/bench/scenariorun.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"path/filepath"
 	"slices"
 	"time"
 
@@ -61,7 +62,11 @@
 		return nil, err
 	}
 	defer traffic.Stop()
-	return o.observe(&env{ctx: ctx, cluster: c, traffic: traffic}, d)
+	r, err := o.observe(&env{ctx: ctx, cluster: c, traffic: traffic}, d)
+	if o.KeepLogs != "" {
+		err = errors.Join(err, c.CopyLogs(filepath.Join(o.KeepLogs, d.name)))
+	}
+	return r, err
 }
 
 // observe takes the counters around the measured time and checks what callers were told.
