--- a/internal/lab/chaos/attempt.go
+++ b/internal/lab/chaos/attempt.go
@@ -1,6 +1,7 @@
 package chaos
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -132,7 +133,7 @@
 	}
 	err := m.check(resp, a)
 	switch {
-	case errors.Is(err, errCheck):
+	case errors.IsAny(err, errCheck, backend.ErrPattern):
 		a.set(load.Wrong, "wrong_answer", err.Error())
 	case err != nil:
 		a.lost(err)
@@ -197,35 +198,8 @@
 
 // checkBytes compares a body with the stand-in's pattern while it arrives.
 func (m *request) checkBytes(resp *fasthttp.Response) error {
-	checker := &patternChecker{}
-	var err error
 	if stream := resp.BodyStream(); stream != nil {
-		_, err = io.Copy(checker, stream)
-	} else {
-		_, err = checker.Write(resp.Body())
+		return backend.CheckPattern(stream, m.size)
 	}
-	if err == nil && checker.offset != m.size {
-		err = errors.Wrapf(errCheck, "%d bytes look complete, want %d", checker.offset, m.size)
-	}
-	return err
-}
-
-// patternChecker is a writer that compares with the stand-in's pattern.
-type patternChecker struct {
-	offset int64
-	want   [32 << 10]byte
-}
-
-// Write implements io.Writer.
-func (c *patternChecker) Write(p []byte) (int, error) {
-	for rest := p; len(rest) > 0; {
-		n := min(len(rest), len(c.want))
-		backend.Pattern(c.offset, c.want[:n])
-		if string(rest[:n]) != string(c.want[:n]) {
-			return 0, errors.Wrapf(errCheck, "body differs between bytes %d and %d", c.offset, c.offset+int64(n))
-		}
-		c.offset += int64(n)
-		rest = rest[n:]
-	}
-	return len(p), nil
+	return backend.CheckPattern(bytes.NewReader(resp.Body()), m.size)
 }
--- a/internal/lab/load/call.go
+++ b/internal/lab/load/call.go
@@ -1,6 +1,7 @@
 package load
 
 import (
+	"bytes"
 	"encoding/json"
 	"io"
 	"net"
@@ -116,7 +117,7 @@
 	}
 	answer, err := m.check(resp)
 	switch {
-	case errors.Is(err, errCheck):
+	case errors.IsAny(err, errCheck, backend.ErrPattern):
 		return result{outcome: Wrong, reason: "wrong_answer", detail: m.id + ": " + err.Error(), status: status}
 	case err != nil:
 		return lost(err)
@@ -184,36 +185,14 @@
 	if err != nil {
 		return errors.Mark(err, ErrOptions)
 	}
-	checker := &patternChecker{}
-	if stream := resp.BodyStream(); stream != nil {
-		_, err = io.Copy(checker, stream)
-	} else {
-		_, err = checker.Write(resp.Body())
-	}
-	if err == nil && checker.offset != want {
-		err = errors.Wrapf(errCheck, "%d bytes, want %d", checker.offset, want)
-	}
-	return err
+	return backend.CheckPattern(bodyReader(resp), want)
 }
 
-// patternChecker is a writer that compares with the stand-in's pattern.
-type patternChecker struct {
-	offset int64
-	want   [32 << 10]byte
-}
-
-// Write implements io.Writer.
-func (c *patternChecker) Write(p []byte) (int, error) {
-	for rest := p; len(rest) > 0; {
-		n := min(len(rest), len(c.want))
-		backend.Pattern(c.offset, c.want[:n])
-		if string(rest[:n]) != string(c.want[:n]) {
-			return 0, errors.Wrapf(errCheck, "body differs between bytes %d and %d", c.offset, c.offset+int64(n))
-		}
-		c.offset += int64(n)
-		rest = rest[n:]
+func bodyReader(resp *fasthttp.Response) io.Reader {
+	if stream := resp.BodyStream(); stream != nil {
+		return stream
 	}
-	return len(p), nil
+	return bytes.NewReader(resp.Body())
 }
 
 // Fetch sends one request of a stream to one entry VM and checks the answer. It returns its outcome, the time that it took
