dispatch: one way to choose a pool

Cause: PoolChoice.Choose and Targets held the same loop, Choose was used by tests only, and the file poolchoice.go held methods of Pool while PoolChoice stood in poolplacement.go. Ruled out: keeping Choose as a shortcut for the tests: they now check the method that the proxy calls. Change: Choose is gone; poolcapacity.go has Pool's slots and waits, poolchoice.go has PoolChoice. The tests check the same properties on the first target.

--- a/pkg/dispatch/poolchoice.go
+++ b/pkg/dispatch/poolchoice.go
@@ -1,185 +1,180 @@
 package dispatch
 
 import (
-	"math"
+	"cmp"
 	"slices"
+	"sync"
 	"time"
 
+	"github.com/hornbeamway/hornbeamway/pkg/clock"
 	"github.com/hornbeamway/hornbeamway/pkg/priority"
 )
 
-// bulkShare is the largest part of the slots that bulk holds even when nothing else waits: slots are not preempted, and
-// an urgent call may arrive at any moment.
-const bulkShare = 0.5
+const (
+	// suspectTime is the time for which a dispatcher that could not be reached is skipped.
+	suspectTime = time.Second
+	// loadMaxAge is the age from which a pool's statement is ignored. The nearest pool is then tried again.
+	loadMaxAge = time.Second
+	// refuseMaxAge is the age up to which a pool's statement refuses a call without asking the pool. A queue that is as
+	// long as a deadline does not empty in that time, and one call per entry VM and 20 ms is cheap enough to ask again.
+	refuseMaxAge = 20 * time.Millisecond
+	// bulkLinkWait is how much longer a bulk call must expect to wait before it goes to the other region. Its answer waits
+	// for the shared region link and holds its slot meanwhile, which makes the waits of both regions look longer: without
+	// this, a short backlog at the start sent archives over the link until the link was full, for good.
+	bulkLinkWait = time.Second
+)
 
-// usable tells whether any server can take calls, now or when a slot is free.
-func (p *Pool) usable() bool {
-	for _, s := range p.servers {
-		if s.open() && !s.refused {
-			return true
-		}
-	}
-	return false
+// VM is an entry VM that may dispatch pools.
+type VM struct {
+	ID         string
+	Region     string
+	DataCentre string
+	// Forward is the address for calls from other entry VMs.
+	Forward string
 }
 
-// rotation returns the slots that may be used now.
-func (p *Pool) rotation() int {
-	slots := 0
-	for _, s := range p.servers {
-		if s.inRotation() {
-			slots += s.Limit()
-		}
-	}
-	return slots
+// ChoiceOptions configures a PoolChoice.
+type ChoiceOptions struct {
+	Clock clock.Clock
+	Self  VM
+	// RegionRoundTrip is the round trip to another data centre of the region. Default 3ms.
+	RegionRoundTrip time.Duration
+	// RemoteRoundTrip is the round trip to the other region. Default 60ms.
+	RemoteRoundTrip time.Duration
 }
 
-// survey is what one pass over the servers finds.
-type survey struct {
-	slots      int  // in rotation
-	anyFree    bool // any class finds a server
-	bulkFree   bool // bulk finds a server, at least for a trial
-	lastResort bool // no server is in rotation, so that ejected ones must be used
+// Target is a VM to send a call to, with the pool that it is to use.
+type Target struct {
+	Pool PoolKey
+	VM   VM
+	// Self is set when this VM dispatches the pool itself.
+	Self bool
+	// Remote is set when the pool is in the other region, so that bodies cross the billed link.
+	Remote bool
+	// ExpectedWait is the wait that the pool has stated within the last 20 ms; 0 if it has stated none.
+	ExpectedWait time.Duration
+	// RecentWait is the wait that the pool has stated within the last second; 0 if it has stated none.
+	RecentWait time.Duration
 }
 
-func (p *Pool) survey(now time.Time) survey {
-	v := survey{lastResort: true}
-	ejectedFree := false
-	for _, s := range p.servers {
-		switch {
-		case s.inRotation():
-			v.lastResort = false
-			v.slots += s.Limit()
-			v.anyFree = v.anyFree || s.free()
-		case s.open() && !s.refused && s.free():
-			ejectedFree = true
-		}
-		if s.busy == 0 {
-			v.anyFree = v.anyFree || s.trialDue(now, false)
-			v.bulkFree = v.bulkFree || s.trialDue(now, true)
-		}
-	}
-	v.anyFree = v.anyFree || v.lastResort && ejectedFree
-	v.bulkFree = v.bulkFree || v.anyFree
-	return v
+// PoolChoice picks the pool of a call and that pool's dispatcher. It is safe for concurrent use.
+type PoolChoice struct {
+	options ChoiceOptions
+
+	mu      sync.RWMutex
+	pools   map[string][]place // by service, nearest first
+	vms     map[string]VM
+	loads   map[PoolKey]Load // At is the time of the statement on the local clock
+	suspect map[string]time.Time
 }
 
-// allowed returns the classes that may get a slot now.
-func (p *Pool) allowed(v survey) priority.ClassSet {
-	var set priority.ClassSet
-	for _, c := range priority.Classes() {
-		if (v.anyFree || v.bulkFree && c == priority.Bulk) && p.held[c] < p.classLimit(c, v.slots) {
-			set = set.With(c)
-		}
-	}
-	return set
+type place struct {
+	key       PoolKey
+	roundTrip time.Duration
+	remote    bool
+	order     []string // ids of the VMs in rendezvous order, this VM added last if it is in another data centre
 }
 
-// classLimit returns the number of slots that class c may hold: 1 minus the shares of the other classes that wait.
-// The limits are rounded so that together they never leave a slot unused; each class may hold at least one slot.
-func (p *Pool) classLimit(c priority.Class, slots int) int {
-	part := 1.0
-	for _, other := range priority.Classes() {
-		if other != c && p.queue.Len(other) > 0 {
-			part -= p.shares[other]
-		}
-	}
-	const rounding = 1e-9 // 1 minus the shares is not exact in binary
-	if c == priority.Bulk {
-		return max(1, int(min(part, bulkShare)*float64(slots)+rounding))
-	}
-	return max(1, int(math.Ceil(part*float64(slots)-rounding)))
+// NewPoolChoice returns a choice without pools.
+func NewPoolChoice(o ChoiceOptions) *PoolChoice {
+	const regionRoundTrip, remoteRoundTrip = 3 * time.Millisecond, 60 * time.Millisecond // design section 1
+	o.RegionRoundTrip = cmp.Or(o.RegionRoundTrip, regionRoundTrip)
+	o.RemoteRoundTrip = cmp.Or(o.RemoteRoundTrip, remoteRoundTrip)
+	return &PoolChoice{options: o, loads: map[PoolKey]Load{}, suspect: map[string]time.Time{}}
 }
 
-// choose returns the server for r, or nil when r may not use any of the free ones.
-func (p *Pool) choose(now time.Time, r *Request, lastResort bool) *ServerState {
-	preferred := r.Class == priority.Bulk || r.Hedged
-	p.candidates = p.candidates[:0]
-	for _, s := range p.servers {
-		if slices.Contains(r.Exclude, s.server.ID) {
+// Update replaces the servers and the alive entry VMs of all data centres.
+func (p *PoolChoice) Update(servers []Server, alive []VM) {
+	vms := map[string]VM{p.options.Self.ID: p.options.Self}
+	byDataCentre := map[string][]string{}
+	for _, vm := range alive {
+		vms[vm.ID] = vm
+		byDataCentre[vm.DataCentre] = append(byDataCentre[vm.DataCentre], vm.ID)
+	}
+	pools := map[string][]place{}
+	seen := map[PoolKey]bool{}
+	for _, s := range servers {
+		key := PoolKey{Service: s.Service, DataCentre: s.DataCentre}
+		if seen[key] || s.State == StateLeaving {
 			continue
 		}
-		if s.trialDue(now, preferred) {
-			return s
-		}
-		if (s.inRotation() || lastResort && s.open() && !s.refused) && s.free() {
-			p.candidates = append(p.candidates, s)
-		}
+		seen[key] = true
+		pools[s.Service] = append(pools[s.Service], p.place(key, s.Region, byDataCentre[s.DataCentre]))
 	}
-	if len(p.candidates) > 0 {
-		return p.selection.Select(now, p.candidates, r)
+	for _, places := range pools {
+		slices.SortFunc(places, func(a, b place) int {
+			return cmp.Or(cmp.Compare(a.roundTrip, b.roundTrip), cmp.Compare(a.key.DataCentre, b.key.DataCentre))
+		})
 	}
-	if len(r.Exclude) == 0 || r.Hedged {
-		return nil
-	}
-	again := *r
-	again.Exclude = nil
-	return p.choose(now, &again, lastResort)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.pools, p.vms = pools, vms
 }
 
-// longestWait is returned for a class that cannot count on any slot.
-const longestWait = time.Hour
+func (p *PoolChoice) place(key PoolKey, region string, vms []string) place {
+	self := p.options.Self
+	at := place{key: key, order: Rank(key, vms)}
+	switch {
+	case region != self.Region:
+		at.roundTrip, at.remote = p.options.RemoteRoundTrip, true
+	case key.DataCentre != self.DataCentre:
+		at.roundTrip = p.options.RegionRoundTrip
+	}
+	if !slices.Contains(at.order, self.ID) {
+		at.order = append(at.order, self.ID)
+	}
+	return at
+}
 
-// expectedWait returns the expected wait of a new request of class c: behind its own class and the more urgent ones on
-// what they leave; or behind its own class on its minimum share, if that is shorter.
-func (p *Pool) expectedWait(c priority.Class) time.Duration {
-	slots := float64(max(p.rotation(), 1))
-	if p.Queued() == 0 {
-		return p.waitOfFirst(slots, c)
-	}
-	own := float64(p.queue.Len(c)) * p.queue.MeanCost(c)
-	ahead := own
-	for other := priority.Interactive; other < c; other++ {
-		ahead += float64(p.queue.Len(other)) * p.queue.MeanCost(other)
-	}
-	wait := longestWait.Seconds()
-	if part := p.leftFor(c, slots); part > 0 {
-		wait = min(wait, ahead/(slots*part))
-	}
-	if share := p.shares[c]; share > 0 {
-		wait = min(wait, own/(slots*share))
+// Observe takes the statement of a pool that came back on an answer. age is the age of the statement on arrival.
+func (p *PoolChoice) Observe(key PoolKey, load Load, age time.Duration) {
+	load.At = p.options.Clock.Now().Add(-age)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if load.At.After(p.loads[key].At) {
+		p.loads[key] = load
 	}
-	return time.Duration(wait * float64(time.Second))
 }
 
-// leftFor returns the part of the slots that the more urgent classes have not used lately and that the less urgent ones
-// that wait may not claim. The queue lengths alone leave out the urgent calls that keep arriving, so that the backlog
-// of bulk that a flood leaves is longer than its deadline allows.
-func (p *Pool) leftFor(c priority.Class, slots float64) float64 {
-	part := 1.0
-	for _, other := range priority.Classes() {
-		switch {
-		case other < c:
-			part -= p.queue.Rate(other) / slots
-		case other > c && p.queue.Len(other) > 0:
-			part -= p.shares[other]
-		}
-	}
-	if c == priority.Bulk {
-		part = min(part, bulkShare)
-	}
-	return part
+// Suspect skips a dispatcher for a second. It is called when the VM refuses the connection or does not accept a call.
+func (p *PoolChoice) Suspect(vm string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.suspect[vm] = p.options.Clock.Now().Add(suspectTime)
 }
 
-// waitOfFirst returns the expected wait when nothing is queued: none with a free slot, else the time until the first of
-// the running calls ends.
-func (p *Pool) waitOfFirst(slots float64, c priority.Class) time.Duration {
-	busy := 0
-	for _, n := range p.held {
-		busy += n
-	}
-	if float64(busy) < slots {
-		return 0
+// better tells whether to move on from the nearer pool: it has no healthy server, or its expected wait is longer than
+// the farther pool's wait plus the additional round trip. Nothing known of a pool counts as no wait.
+func (p *PoolChoice) better(now time.Time, farther, nearer *place, class priority.Class) bool {
+	far, farKnown := p.load(now, farther.key)
+	near, nearKnown := p.load(now, nearer.key)
+	if !nearKnown || farKnown && !far.Healthy {
+		return false
+	}
+	if !near.Healthy {
+		return true
+	}
+	price := farther.roundTrip - nearer.roundTrip
+	if class == priority.Bulk && farther.remote && !nearer.remote {
+		price += bulkLinkWait
+	}
+	return near.ExpectedWait[class]-far.ExpectedWait[class] > price
+}
+
+func (p *PoolChoice) load(now time.Time, key PoolKey) (Load, bool) {
+	l, known := p.loads[key]
+	if !known || now.Sub(l.At) > loadMaxAge {
+		return Load{}, false
 	}
-	return time.Duration(p.queue.MeanCost(c) / slots * float64(time.Second))
+	return l, true
 }
 
-// Load returns what the pool tells about itself on answers.
-func (p *Pool) Load(now time.Time) Load {
-	l := Load{Healthy: p.usable(), Slots: p.rotation(), Queued: p.Queued(), At: now}
-	for _, c := range priority.Classes() {
-		l.Busy += p.held[c]
-		l.ExpectedWait[c] = p.expectedWait(c)
-		l.P95[c] = p.latency[c].percentile95(now)
+// dispatcher returns the first VM of the rendezvous order that is not suspect, or this VM when all are.
+func (p *PoolChoice) dispatcher(now time.Time, at *place) VM {
+	for _, id := range at.order {
+		if id == p.options.Self.ID || !now.Before(p.suspect[id]) {
+			return p.vms[id]
+		}
 	}
-	return l
+	return p.options.Self
 }
--- a/pkg/dispatch/poolplacement_test.go
+++ b/pkg/dispatch/poolchoice_test.go
@@ -64,8 +64,9 @@
 			load.ExpectedWait[priority.Interactive] = s.wait
 			choice.Observe(dispatch.PoolKey{Service: "orders", DataCentre: s.dataCentre}, load, s.age)
 		}
-		target, ok := choice.Choose("orders", priority.Interactive)
-		Expect(ok).To(BeTrue())
+		targets := choice.Targets("orders", priority.Interactive)
+		Expect(targets).NotTo(BeEmpty())
+		target := targets[0]
 		Expect(target.Pool.DataCentre).To(Equal(want))
 		Expect(target.Self).To(Equal(want == "d1"))
 		Expect(target.Remote).To(Equal(want == "d3"))
@@ -117,13 +118,13 @@
 		[]dispatch.VM{{ID: "e1", DataCentre: "d2"}, {ID: "e2", DataCentre: "d2"}})
 	var order []string
 	for range 3 {
-		target, _ := choice.Choose("orders", priority.Interactive)
+		target := choice.Targets("orders", priority.Interactive)[0]
 		order = append(order, target.VM.ID)
 		choice.Suspect(target.VM.ID)
 	}
 	Expect(order[:2]).To(ConsistOf("e1", "e2"))
 	Expect(order[2]).To(Equal("e0"))
 	manual.Advance(time.Second)
-	target, _ := choice.Choose("orders", priority.Interactive)
+	target := choice.Targets("orders", priority.Interactive)[0]
 	Expect(target.VM.ID).To(Equal(order[0]))
 })
--- a/pkg/dispatch/targets.go
+++ b/pkg/dispatch/targets.go
@@ -6,9 +6,9 @@
 	"github.com/hornbeamway/hornbeamway/pkg/priority"
 )
 
-// Targets returns the ways to serve a call, best first: the chosen pool's dispatcher with the pool's expected wait, its successor, then the other
-// pools' dispatchers, nearest first, and at last this VM itself for the chosen pool. A call that is proved not run on one
-// target may go to the next.
+// Targets returns the ways to serve a call, best first: the dispatcher of the pool with the shortest way and wait, its
+// successor, then the other pools' dispatchers, nearest first, and at last this VM itself for the chosen pool. A call that
+// is proved not run on one target may go to the next. Nil when no pool serves the service.
 func (p *PoolChoice) Targets(service string, class priority.Class) []Target {
 	now := p.options.Clock.Now()
 	p.mu.RLock()
@@ -43,6 +43,7 @@
 	return append(targets, p.target(best, p.options.Self))
 }
 
+// best returns the pool with the shortest way and wait.
 func (p *PoolChoice) best(now time.Time, places []place, class priority.Class) *place {
 	best := &places[0]
 	for i := range places[1:] {
