membership: state the reason of the limits without run figures

Cause: two comments carried figures of single runs, which age with the code; CAPACITY.md holds the measured ones. Ruled out: dropping the reasons. Change: comments only.

--- a/pkg/membership/plan.go
+++ b/pkg/membership/plan.go
@@ -15,11 +15,11 @@
 const (
 	// maxChanges bounds the entries of one heartbeat.
 	maxChanges = 8
-	// partnerLimit bounds the members of a region from which receivers are drawn. Connections to all of 64 members cost
-	// 4.1 KB/s per node in the first minute for setting them up.
+	// partnerLimit bounds the members of a region from which receivers are drawn. Setting up connections to all members
+	// of a large region would exceed the control budget of 2 KB/s.
 	partnerLimit = 8
-	// syncTicks is the least number of ticks between two comparisons of the whole table that this VM starts.
-	// Sending entries at random instead took 6 s and 2.3 KB/s per node for 16 VMs, and failed at 64 within 60 s.
+	// syncTicks is the least number of ticks between two comparisons of the whole table that this VM starts. Entries sent
+	// at random instead spread too slowly in a large fleet.
 	syncTicks = 2
 	// randomTicks, otherRegionTicks and probeTicks are the ticks between heartbeats to a random VM of the region, to one
 	// of the other region, and to a VM that is listed but unknown or dead. Heartbeats to a random VM every tick and to
