Subscribe before the list is answered in a membership spec

Cause: in 1 of 4 runs of make test the spec subscribed after the only change of the list had been announced, and on the manual clock no other follows. Ruled out: a lost notice in the service: the pool updater subscribes and then reads the list, so it cannot miss one. Change: the list is held back until the spec has subscribed; the check is the same. Conclusion: the spec no longer depends on the order of two goroutines.

--- a/pkg/membership/service_test.go
+++ b/pkg/membership/service_test.go
@@ -99,11 +99,16 @@
 
 	// Guards against backend servers that are listed twice or keep getting work although one entry says leaving.
 	It("passes on the listed backend servers without duplicates", func() {
+		// The list is held back until the test has subscribed, so that its one change is not missed.
+		subscribed := make(chan struct{})
 		start(listFunc(func() []vmlist.VM {
+			<-subscribed
 			return []vmlist.VM{{ID: "s1", Role: vmlist.RoleBackend, State: vmlist.StateLive, Address: "x"}, {ID: "a", Role: vmlist.RoleEntry},
 				{ID: "s2", Role: vmlist.RoleBackend}, {ID: "s1", Role: vmlist.RoleBackend, State: vmlist.StateLeaving, Address: "x"}}
 		}))
-		Eventually(s.SubscribeServers(), "5s").Should(Receive())
+		changes := s.SubscribeServers()
+		close(subscribed)
+		Eventually(changes, "5s").Should(Receive())
 		Expect(s.Servers()).To(Equal([]vmlist.VM{{ID: "s1", Role: vmlist.RoleBackend, State: vmlist.StateLeaving, Address: "x"}, {ID: "s2", Role: vmlist.RoleBackend}}))
 		Expect(s.Listed()).To(HaveLen(1))
 	})
