lab: keep one administration client per VM

Cause of the failed make demo (one of ten tries): VM.Operator and VM.Customer made a new client for each call, and each client kept its connection open for 10 s. The loops that wait for a state opened more than the 256 connections that the administration API serves, when other builds made them run longer. Ruled out: the stand-ins and the callers' address, whose limits are 262,144 and 20,000 connections. The new spec asks 300 times; before the change it failed with the reported message (status 503, Server.Concurrency limit exceeded), after it passes.

--- a/internal/lab/cluster/cluster_test.go
+++ b/internal/lab/cluster/cluster_test.go
@@ -29,6 +29,17 @@
 		Expect(c.Dir()).NotTo(BeADirectory())
 	}, SpecTimeout(time.Minute))
 
+	// Guards against loops that ask for the state until it changes: each client kept a connection of its own, and the
+	// administration API refused the 257th with "Server.Concurrency limit exceeded".
+	It("serves more requests than the administration API has connections", func(ctx SpecContext) {
+		c := start(ctx)
+		for range 300 {
+			_, err := c.Operator().Status()
+			Expect(err).NotTo(HaveOccurred())
+		}
+		Expect(c.Stop(ctx)).To(Succeed())
+	}, SpecTimeout(time.Minute))
+
 	// Guards against a tool that is interrupted and leaves its children running.
 	It("kills everything when the context ends", func(ctx SpecContext) {
 		inner, cancel := context.WithCancel(ctx)
--- a/internal/lab/cluster/vm.go
+++ b/internal/lab/cluster/vm.go
@@ -24,6 +24,9 @@
 	cluster  *Cluster
 	settings string
 	ports    []*reservation
+	// operator and customer are kept, because each client keeps connections of its own open and the administration API
+	// bounds their number.
+	operator, customer *admin.Client
 
 	mu      sync.Mutex
 	process *Process
@@ -43,6 +46,8 @@
 		ID: id, Role: vmlist.RoleEntry, Region: place.Region, DataCentre: place.DataCentre, State: vmlist.StateLive,
 		Address: ports[0].address, Forward: ports[1].address, Peer: ports[2].address, Admin: ports[3].address,
 	}}
+	vm.operator = admin.NewClient(vm.Entry.Admin, OperatorCredential)
+	vm.customer = admin.NewClient(vm.Entry.Admin, CustomerCredential)
 	if err := vm.writeSettings(); err != nil {
 		release(ports)
 		return nil, err
@@ -191,10 +196,10 @@
 }
 
 // Operator returns the administration API with the operator's credential.
-func (vm *VM) Operator() *admin.Client { return admin.NewClient(vm.Entry.Admin, OperatorCredential) }
+func (vm *VM) Operator() *admin.Client { return vm.operator }
 
 // Customer returns the administration API with the customer's credential.
-func (vm *VM) Customer() *admin.Client { return admin.NewClient(vm.Entry.Admin, CustomerCredential) }
+func (vm *VM) Customer() *admin.Client { return vm.customer }
 
 // Metrics returns the VM's metrics in the text format of Prometheus.
 func (vm *VM) Metrics() ([]byte, error) { return request("GET", vm.Entry.Admin+"/metrics", nil) }
