Serve callers on the users' platform

hornbeamway platform starts the entry VM with the platform's settings file. The adapter in platform/ decodes settings, server entries, configurations, headers and the answers of the store; the rest is built in the product:

- routing: longest-prefix routes by host, split by weight
- directory: configuration and servers; one VM of a region reads the store each second and the others take over what it knows, or read themselves when it is silent
- loadshare: begin and end of each request as a datagram to the VMs of the region
- balance: the server that is expected to answer first
- gateway: attempts, truthful refusals, limits, drain
- eventlog: bounded log lines on standard output
- entryvm: wiring and life cycle

upstream skips late answers to earlier requests. retrybudget and the body stream move out of proxy, so that both forms use one copy.

--- a/cmd/hornbeamway/main.go
+++ b/cmd/hornbeamway/main.go
@@ -16,14 +16,22 @@
 
 	"github.com/hornbeamway/hornbeamway/internal/buildinfo"
 	"github.com/hornbeamway/hornbeamway/pkg/config"
+	"github.com/hornbeamway/hornbeamway/pkg/directory"
+	"github.com/hornbeamway/hornbeamway/pkg/entryvm"
+	"github.com/hornbeamway/hornbeamway/pkg/eventlog"
 	"github.com/hornbeamway/hornbeamway/pkg/server"
+	"github.com/hornbeamway/hornbeamway/pkg/upstream"
+	"github.com/hornbeamway/hornbeamway/platform"
 )
 
 type checkCommand struct{}
 
+type platformCommand struct{}
+
 type arguments struct {
-	Check  *checkCommand `arg:"subcommand:check" help:"validate a settings file and exit"`
-	Config string        `arg:"--config,required" help:"settings file (JSON with comments)"`
+	Check    *checkCommand    `arg:"subcommand:check" help:"validate a settings file and exit"`
+	Platform *platformCommand `arg:"subcommand:platform" help:"serve on the users' platform, with the settings file that the platform names"`
+	Config   string           `arg:"--config" help:"settings file (JSON with comments); required but for platform"`
 }
 
 // Description implements arg.Described.
@@ -43,7 +51,13 @@
 
 func main() {
 	var args arguments
-	arg.MustParse(&args)
+	parser := arg.MustParse(&args)
+	if args.Platform != nil {
+		os.Exit(servePlatform(os.Stderr))
+	}
+	if args.Config == "" {
+		parser.Fail("--config is required")
+	}
 	if args.Check != nil {
 		os.Exit(check(args.Config, os.Stdout, os.Stderr))
 	}
@@ -78,6 +92,27 @@
 	return exitOK
 }
 
+// servePlatform runs the entry VM on the users' platform until a stop signal and returns the exit code.
+func servePlatform(faults io.Writer) int {
+	settings, err := platform.LoadSettings()
+	if err != nil {
+		fmt.Fprintln(faults, err)
+		return exitSettings
+	}
+	defer eventlog.Start()()
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	err = entryvm.Run(ctx, settings, entryvm.Platform{
+		Store: func(address string, t *upstream.Transport) directory.Store { return platform.NewStore(address, t) },
+		Codec: platform.Codec{Regions: settings.Regions}, Dialect: platform.Dialect{}, Reload: platform.LoadSettings,
+	})
+	if err != nil {
+		klog.ErrorS(err, "entry VM failed", "vm", settings.VM)
+		return exitFailure
+	}
+	return exitOK
+}
+
 // setVerbosity sets klog's level, which the library only takes from flags.
 func setVerbosity(level int) {
 	flags := flag.NewFlagSet("klog", flag.ContinueOnError)
--- /dev/null
+++ b/pkg/balance/balance.go
@@ -0,0 +1,297 @@
+// Package balance chooses the backend server of each request. It knows the requests in flight of all entry VMs of the
+// region and how fast each server works at the moment, and takes the server that is expected to answer first. It is pure:
+// time is passed in, and nothing blocks.
+package balance
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/hornbeamway/hornbeamway/pkg/directory"
+)
+
+// Key identifies a server and its incarnation between entry VMs.
+type Key uint64
+
+// KeyOf returns the key of a server.
+func KeyOf(s *directory.Server) Key {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(s.ID)
+	_, _ = d.WriteString("\x00")
+	_, _ = d.WriteString(s.Address)
+	return Key(d.Sum64() ^ uint64(s.Incarnation))
+}
+
+// Figure is what a server says of itself with an answer.
+type Figure struct {
+	// Running and Waiting are the requests that the server runs and that wait for a slot.
+	Running, Waiting int
+	// Slowness is how long work takes at this moment; 1 is usual.
+	Slowness float64
+}
+
+// Place is where a VM or server stands.
+type Place struct {
+	DataCentre, Region string
+}
+
+// Request is what the choice depends on.
+type Request struct {
+	Service string
+	// Work is the usual time that a server works on such a request.
+	Work time.Duration
+	// Objective is the latency within which an answer is of full use.
+	Objective time.Duration
+	// Bytes is the expected size of the request and its answer together.
+	Bytes float64
+	// Exclude are servers that this request was sent to before.
+	Exclude []Key
+}
+
+// Choice is a chosen server.
+type Choice struct {
+	Server *directory.Server
+	Key    Key
+	// Expected is the time after which the answer is expected.
+	Expected time.Duration
+	// Busy is the number of requests in flight there, without this one.
+	Busy int
+	// Slowness is the factor that was expected, and FigureAge the age of the figure behind it; negative: none.
+	Slowness  float64
+	FigureAge time.Duration
+}
+
+// Outcome says how a request on a server ended.
+type Outcome uint8
+
+// The outcomes.
+const (
+	// Answered is an answer that the server gave as it should.
+	Answered Outcome = iota
+	// Failed is an error answer, a broken answer or none in time.
+	Failed
+	// Unreachable is a connection that could not be made or was reset at once.
+	Unreachable
+	// Full is a server that had no room.
+	Full
+	// Misdirected is an answer of another server at the address.
+	Misdirected
+	// Abandoned is a request ended by this side.
+	Abandoned
+)
+
+// Balancer holds the load of the servers. It is safe for concurrent use.
+type Balancer struct {
+	self Place
+
+	mu       sync.Mutex
+	services map[string]*service
+	servers  map[Key]*server
+	random   *rand.Rand
+}
+
+// service is what the servers of a service have in common.
+type service struct {
+	servers []*server
+	// slowness is the mean of the figures.
+	slowness float64
+}
+
+// server is one backend server as this VM knows it.
+type server struct {
+	info *directory.Server
+	key  Key
+	// own and others are the requests in flight of this VM and of the other VMs.
+	own    int
+	others map[string]int
+	total  int
+	// figure is the last one told, at figureAt.
+	figure   Figure
+	figureAt time.Time
+	// failure is the recent share of failed requests, at failureAt.
+	failure   float64
+	failureAt time.Time
+	// fullUntil and awayUntil keep requests from a server that had no room or did not answer.
+	fullUntil, awayUntil time.Time
+	awayCount            int
+	misdirected          bool
+}
+
+// New returns a balancer of a VM.
+func New(self Place, seed uint64) *Balancer {
+	return &Balancer{self: self, services: map[string]*service{}, servers: map[Key]*server{},
+		random: rand.New(rand.NewPCG(seed, seed))}
+}
+
+// SetServers takes the servers that may get requests. What is known of a server stays while it is listed.
+func (b *Balancer) SetServers(view *directory.View) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	old, oldServices := b.servers, b.services
+	b.servers, b.services = map[Key]*server{}, map[string]*service{}
+	for name, infos := range view.ByService {
+		svc := &service{slowness: initialSlowness}
+		if before, ok := oldServices[name]; ok {
+			svc.slowness = before.slowness
+		}
+		for _, info := range infos {
+			key := KeyOf(info)
+			s, ok := old[key]
+			if !ok {
+				s = &server{key: key, others: map[string]int{}}
+			}
+			s.info = info
+			svc.servers = append(svc.servers, s)
+			b.servers[key] = s
+		}
+		b.services[name] = svc
+	}
+}
+
+// Pick returns the server that is expected to answer first; ok is false if the service has none.
+func (b *Balancer) Pick(r Request, now time.Time) (c Choice, ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	svc := b.services[r.Service]
+	if svc == nil {
+		return Choice{}, false
+	}
+	best, bestCost := (*server)(nil), 0.0
+	for _, s := range svc.servers {
+		if s.misdirected || excluded(r.Exclude, s.key) {
+			continue
+		}
+		cost := b.cost(svc, s, r, now) + b.random.Float64()*tieBreak
+		if best == nil || cost < bestCost {
+			best, bestCost = s, cost
+		}
+	}
+	if best == nil {
+		return Choice{}, false
+	}
+	slowness := best.slowness(svc, now)
+	c = Choice{Server: best.info, Key: best.key, Busy: best.total, Slowness: slowness, FigureAge: -1,
+		Expected: time.Duration(b.expected(svc, best, r, now) * float64(time.Millisecond))}
+	if !best.figureAt.IsZero() {
+		c.FigureAge = now.Sub(best.figureAt)
+	}
+	return c, true
+}
+
+func excluded(keys []Key, key Key) bool {
+	for _, k := range keys {
+		if k == key {
+			return true
+		}
+	}
+	return false
+}
+
+// Begin counts a request that this VM sends to a server, and returns the number of its own there.
+func (b *Balancer) Begin(key Key) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s, ok := b.servers[key]
+	if !ok {
+		return 0
+	}
+	s.own++
+	s.total++
+	return s.own
+}
+
+// End counts the end of a request and returns the number of this VM's own there.
+func (b *Balancer) End(key Key, o Outcome, now time.Time) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s, ok := b.servers[key]
+	if !ok {
+		return 0
+	}
+	if s.own > 0 {
+		s.own--
+		s.total--
+	}
+	s.note(o, now)
+	return s.own
+}
+
+// Learn takes what a server said of itself at a time.
+func (b *Balancer) Learn(key Key, f Figure, at time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s, ok := b.servers[key]
+	if !ok || at.Before(s.figureAt) {
+		return
+	}
+	s.figure, s.figureAt = f, at
+	if svc := b.services[s.info.Service]; svc != nil {
+		svc.slowness += (f.Slowness - svc.slowness) * meanWeight
+	}
+}
+
+// LearnOutcome takes the end of another VM's request.
+func (b *Balancer) LearnOutcome(key Key, o Outcome, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if s, ok := b.servers[key]; ok {
+		s.note(o, now)
+	}
+}
+
+// SetOthers sets the number of requests that another VM has in flight at a server.
+func (b *Balancer) SetOthers(vm string, key Key, count int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if s, ok := b.servers[key]; ok {
+		s.setOthers(vm, count)
+	}
+}
+
+// ReplaceOthers sets all requests that another VM has in flight. A nil map forgets the VM.
+func (b *Balancer) ReplaceOthers(vm string, counts map[Key]int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for key, s := range b.servers {
+		if s.others[vm] != counts[key] {
+			s.setOthers(vm, counts[key])
+		}
+	}
+}
+
+func (s *server) setOthers(vm string, count int) {
+	s.total += count - s.others[vm]
+	if count == 0 {
+		delete(s.others, vm)
+		return
+	}
+	s.others[vm] = count
+}
+
+// Own returns the requests that this VM has in flight, by server.
+func (b *Balancer) Own() map[Key]int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	own := map[Key]int{}
+	for key, s := range b.servers {
+		if s.own > 0 {
+			own[key] = s.own
+		}
+	}
+	return own
+}
+
+// FigureAge returns the age of a server's last figure; ok is false if there is none or the server is unknown.
+func (b *Balancer) FigureAge(key Key, now time.Time) (age time.Duration, ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s, known := b.servers[key]
+	if !known || s.figureAt.IsZero() {
+		return 0, false
+	}
+	return now.Sub(s.figureAt), true
+}
--- /dev/null
+++ b/pkg/directory/follower.go
@@ -0,0 +1,247 @@
+package directory
+
+import (
+	"context"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+	"k8s.io/klog/v2"
+
+	"github.com/hornbeamway/hornbeamway/pkg/clock"
+)
+
+const (
+	// readInterval is the age of what is known at which the first VM of the region reads the store again.
+	readInterval = time.Second
+	// standbyDelay is the further age at which the next VM in order takes the reading over, and standbyStep what each one
+	// behind it adds. All have read by readInterval + standbyDelay + standbyMax.
+	standbyDelay = 300 * time.Millisecond
+	standbyStep  = 100 * time.Millisecond
+	standbyMax   = 400 * time.Millisecond
+	// readTimeout bounds one call to the store. A connection that has gone silent is noticed by it.
+	readTimeout = 500 * time.Millisecond
+	// retryDelay and retryMax bound the wait after a failed read; it doubles with each failure.
+	retryDelay = 200 * time.Millisecond
+	retryMax   = time.Second
+	// checkInterval is how often the age is looked at.
+	checkInterval = 20 * time.Millisecond
+	// handOnTimeout bounds the transfer of a snapshot between two VMs.
+	handOnTimeout = 500 * time.Millisecond
+)
+
+var (
+	storeReads    = metrics.NewCounter(`hornbeamway_store_reads_total`)
+	storeFailures = metrics.NewCounter(`hornbeamway_store_read_failures_total`)
+	handOns       = metrics.NewCounter(`hornbeamway_directory_snapshots_taken_total`)
+)
+
+// Peers finds and asks other VMs.
+type Peers interface {
+	// Rank returns the number of live VMs of the region that read the store before this one.
+	Rank() int
+	// Snapshot asks another VM for all that it knows.
+	Snapshot(ctx context.Context, address string) (Snapshot, error)
+	// Seeds returns the addresses of VMs that may know something, for a VM that cannot reach the store.
+	Seeds() []string
+}
+
+// Follower keeps a State up to date.
+type Follower struct {
+	clock clock.Clock
+	state *State
+	store Store
+	peers Peers
+	// later receives the addresses of VMs that know something later; it is bounded, and drops what does not fit.
+	later chan string
+	// joined is called once with the records of VMs after the first contact with the store.
+	joined func(Batch)
+
+	failures  int
+	nextTry   time.Time
+	announced bool
+}
+
+// laterVMs is the number of VMs with later knowledge that wait to be asked. One answer serves for all of them.
+const laterVMs = 8
+
+// NewFollower returns a follower. joined receives the addresses of the other VMs.
+func NewFollower(c clock.Clock, state *State, store Store, peers Peers, joined func(Batch)) *Follower {
+	return &Follower{clock: c, state: state, store: store, peers: peers, joined: joined, later: make(chan string, laterVMs)}
+}
+
+// Observe takes the digest of the VM at an address.
+func (f *Follower) Observe(address string, d Digest) {
+	if !f.state.Observe(d) {
+		return
+	}
+	select {
+	case f.later <- address:
+	default: // The VMs that wait know as much, or tell again with their next digest.
+	}
+}
+
+// Run follows the store until ctx ends. self is this VM's record of VMs.
+func (f *Follower) Run(ctx context.Context, key string, self []byte) {
+	go f.takeOver(ctx)
+	for ctx.Err() == nil {
+		if f.due() {
+			f.read(ctx, key, self)
+		}
+		f.state.tick()
+		select {
+		case <-ctx.Done():
+		case <-f.clock.After(checkInterval):
+		}
+	}
+}
+
+// due reports whether this VM must read the store now.
+func (f *Follower) due() bool {
+	if f.clock.Now().Before(f.nextTry) {
+		return false
+	}
+	age, ok := f.state.Age()
+	if !ok {
+		return true
+	}
+	if age < readInterval {
+		return false
+	}
+	limit := readInterval
+	if rank := f.peers.Rank(); rank > 0 {
+		limit += standbyDelay + min(standbyMax, time.Duration(rank-1)*standbyStep)
+	}
+	return age >= limit
+}
+
+// read brings the state up to date from the store.
+func (f *Follower) read(ctx context.Context, key string, self []byte) {
+	started := f.clock.Now()
+	callCtx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	err := f.readAll(callCtx)
+	if err == nil {
+		f.state.confirm(started)
+		if f.failures > 0 {
+			klog.InfoS("store reachable again", "failures", f.failures)
+		}
+		f.failures, f.nextTry = 0, time.Time{}
+		f.announce(ctx, key, self)
+		return
+	}
+	storeFailures.Inc()
+	f.failures++
+	wait := min(retryMax, retryDelay<<min(f.failures-1, 3))
+	f.nextTry = f.clock.Now().Add(wait)
+	age, known := f.state.Age()
+	klog.InfoS("store not read", "err", err, "failures", f.failures, "retryIn", wait, "known", known, "age", age)
+	if !known || f.failures > 1 {
+		f.askSeeds(ctx)
+	}
+}
+
+// readAll reads both topics at the same time.
+func (f *Follower) readAll(ctx context.Context) error {
+	d := f.state.Digest()
+	var config, servers Batch
+	var wholeServers bool
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() (err error) {
+		config, _, err = f.readTopic(ctx, Configuration, d.ConfigNext, d.ConfigVersion != 0)
+		return err
+	})
+	group.Go(func() (err error) {
+		servers, wholeServers, err = f.readTopic(ctx, Servers, d.ServersNext, d.AgeMillis >= 0)
+		return err
+	})
+	if err := group.Wait(); err != nil {
+		return err
+	}
+	f.state.beginReturn()
+	f.state.applyConfiguration(config)
+	f.state.applyServers(servers, wholeServers)
+	return nil
+}
+
+// readTopic reads on from an offset, or everything if the records have expired or nothing is known.
+func (f *Follower) readTopic(ctx context.Context, topic Topic, from int64, known bool) (b Batch, whole bool, err error) {
+	if known {
+		storeReads.Inc()
+		b, err = f.store.Read(ctx, topic, from)
+		if !errors.Is(err, ErrExpired) {
+			return b, false, err
+		}
+		klog.InfoS("records have expired; reading the newest of each key", "topic", topic, "from", from)
+	}
+	storeReads.Inc()
+	b, err = f.store.Newest(ctx, topic)
+	return b, true, err
+}
+
+// announce adds this VM to the store and learns of the others, once.
+func (f *Follower) announce(ctx context.Context, key string, self []byte) {
+	if f.announced {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, 2*readTimeout)
+	defer cancel()
+	if err := f.store.Publish(ctx, key, self); err != nil {
+		klog.InfoS("VM not added to the store", "err", err)
+		return
+	}
+	found, err := f.store.Newest(ctx, VMs)
+	if err != nil {
+		klog.InfoS("VMs not read from the store", "err", err)
+		return
+	}
+	f.announced = true
+	f.joined(found)
+}
+
+// askSeeds takes over what other VMs know, for a VM that cannot reach the store.
+func (f *Follower) askSeeds(ctx context.Context) {
+	for _, address := range f.peers.Seeds() {
+		if f.ask(ctx, address) {
+			return
+		}
+	}
+}
+
+// takeOver asks VMs that know something later.
+func (f *Follower) takeOver(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case address := <-f.later:
+			f.ask(ctx, address)
+			f.forgetLater()
+		}
+	}
+}
+
+// forgetLater drops the VMs that told before the last answer: those that still know more will tell again.
+func (f *Follower) forgetLater() {
+	for {
+		select {
+		case <-f.later:
+		default:
+			return
+		}
+	}
+}
+
+func (f *Follower) ask(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, handOnTimeout)
+	defer cancel()
+	snap, err := f.peers.Snapshot(ctx, address)
+	if err != nil {
+		klog.InfoS("no snapshot from another VM", "vm", address, "err", err)
+		return false
+	}
+	handOns.Inc()
+	f.state.adopt(snap, address)
+	return snap.ConfigVersion > 0
+}
--- /dev/null
+++ b/pkg/entryvm/vm.go
@@ -0,0 +1,215 @@
+package entryvm
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+	"github.com/samber/do/v2"
+	"golang.org/x/sync/errgroup"
+	"k8s.io/klog/v2"
+
+	"github.com/hornbeamway/hornbeamway/pkg/balance"
+	"github.com/hornbeamway/hornbeamway/pkg/clock"
+	"github.com/hornbeamway/hornbeamway/pkg/directory"
+	"github.com/hornbeamway/hornbeamway/pkg/gateway"
+	"github.com/hornbeamway/hornbeamway/pkg/loadshare"
+	"github.com/hornbeamway/hornbeamway/pkg/peer"
+	"github.com/hornbeamway/hornbeamway/pkg/retrybudget"
+	"github.com/hornbeamway/hornbeamway/pkg/routing"
+	"github.com/hornbeamway/hornbeamway/pkg/upstream"
+)
+
+// ErrListen reports an address that cannot be listened on.
+var ErrListen = errors.New("cannot listen")
+
+// Platform is what the adapter provides.
+type Platform struct {
+	// Store opens the client of the store at an address.
+	Store   func(address string, t *upstream.Transport) directory.Store
+	Codec   directory.Codec
+	Dialect gateway.Dialect
+	// Reload reads the settings again.
+	Reload func() (*Settings, error)
+}
+
+// sockets are the listeners of an entry VM.
+type sockets struct {
+	callers, health, peer net.Listener
+	datagrams             *net.UDPConn
+}
+
+func listen(s *Settings) (*sockets, error) {
+	var l sockets
+	for _, target := range []struct {
+		listener *net.Listener
+		address  string
+	}{{&l.callers, s.Callers}, {&l.health, s.Health}, {&l.peer, s.Peer}} {
+		listener, err := net.Listen("tcp", target.address)
+		if err != nil {
+			return nil, errors.Mark(errors.Wrapf(err, "%s", target.address), ErrListen)
+		}
+		*target.listener = listener
+	}
+	address, err := net.ResolveUDPAddr("udp", s.Peer)
+	if err == nil {
+		l.datagrams, err = net.ListenUDP("udp", address)
+	}
+	return &l, errors.Mark(errors.Wrapf(err, "%s", s.Peer), ErrListen)
+}
+
+// vm is a running entry VM.
+type vm struct {
+	settings *Settings
+	platform Platform
+	sockets  *sockets
+	state    *directory.State
+	follower *directory.Follower
+	sharer   *loadshare.Sharer
+	gateway  *gateway.Gateway
+	retries  *retrybudget.Budgets
+	calls    *peer.Server
+	pool     *peer.Pool
+}
+
+// Run serves as an entry VM until ctx ends, then stops: health checks fail at once, requests are served until the platform
+// sends no more, and those in flight are finished. It returns nil after that. Errors: ErrListen and those of the listeners.
+func Run(ctx context.Context, s *Settings, p Platform) error {
+	l, err := listen(s)
+	if err != nil {
+		return err
+	}
+	v, err := build(s, p, l)
+	if err != nil {
+		return err
+	}
+	return v.run(ctx)
+}
+
+// build makes the parts.
+func build(s *Settings, p Platform, l *sockets) (*vm, error) {
+	i := do.New()
+	v := &vm{settings: s, platform: p, sockets: l}
+	system, seed := clock.System{}, xxhash.Sum64String(s.Peer+strconv.FormatInt(time.Now().UnixNano(), 10))
+	do.ProvideValue(i, balance.New(balance.Place{DataCentre: s.DataCentre, Region: s.Region}, seed))
+	do.ProvideValue(i, retrybudget.New(retryUse*s.RetryShare, 1))
+	do.Provide(i, func(i do.Injector) (*directory.State, error) {
+		b := do.MustInvoke[*balance.Balancer](i)
+		return directory.NewState(system, p.Codec, b.SetServers), nil
+	})
+	do.Provide(i, func(i do.Injector) (*loadshare.Sharer, error) {
+		return loadshare.New(loadshare.Options{Clock: system, VM: s.VM, Region: s.Region, Conn: l.datagrams,
+			Balancer: do.MustInvoke[*balance.Balancer](i), Digest: do.MustInvoke[*directory.State](i).Digest,
+			Observe: func(address string, d directory.Digest) { v.follower.Observe(address, d) }}), nil
+	})
+	do.Provide(i, func(i do.Injector) (*directory.Follower, error) {
+		store := p.Store(s.Store, upstream.NewTransport(storeTransport()))
+		return directory.NewFollower(system, do.MustInvoke[*directory.State](i), store, v, v.joined), nil
+	})
+	do.Provide(i, func(i do.Injector) (*gateway.Gateway, error) {
+		return gateway.New(gateway.Options{Clock: system, Dialect: p.Dialect, State: do.MustInvoke[*directory.State](i),
+			Balancer: do.MustInvoke[*balance.Balancer](i), Splitter: routing.NewSplitter(float64(seed%1000) / 1000),
+			Servers: upstream.NewTransport(v.serverTransport()), Retries: do.MustInvoke[*retrybudget.Budgets](i),
+			Tell: do.MustInvoke[*loadshare.Sharer](i).Tell}), nil
+	})
+	options := peer.Options{ID: s.VM, Secret: s.Store}
+	v.calls, v.pool = peer.NewServer(options), peer.NewPool(options)
+	var err error
+	if v.gateway, err = do.Invoke[*gateway.Gateway](i); err != nil {
+		return nil, err
+	}
+	v.state, v.sharer = do.MustInvoke[*directory.State](i), do.MustInvoke[*loadshare.Sharer](i)
+	v.retries, v.follower = do.MustInvoke[*retrybudget.Budgets](i), do.MustInvoke[*directory.Follower](i)
+	peer.Handle(v.calls, methodSnapshot, func(context.Context, struct{}) (directory.Snapshot, error) {
+		return v.state.Snapshot(), nil
+	})
+	return v, nil
+}
+
+// methodSnapshot asks another VM for all that it knows.
+const methodSnapshot = "directory.snapshot"
+
+// Rank implements directory.Peers.
+func (v *vm) Rank() int { return v.sharer.Rank("read the store") }
+
+// Seeds implements directory.Peers.
+func (v *vm) Seeds() []string {
+	if live := v.sharer.LiveInRegion(); len(live) > 0 {
+		return live[:min(len(live), askedVMs)]
+	}
+	return v.settings.Seeds
+}
+
+// askedVMs is the number of VMs that are asked one after the other for what the store does not tell.
+const askedVMs = 3
+
+// Snapshot implements directory.Peers.
+func (v *vm) Snapshot(ctx context.Context, address string) (directory.Snapshot, error) {
+	return peer.Call[directory.Snapshot](ctx, v.pool, address, methodSnapshot, struct{}{})
+}
+
+// joined takes the VMs that the store lists.
+func (v *vm) joined(found directory.Batch) {
+	var addresses []string
+	for _, r := range found.Records {
+		if len(r.Value) > 0 {
+			addresses = append(addresses, r.Key)
+		}
+	}
+	klog.InfoS("VMs read from the store", "vms", strings.Join(addresses, ","))
+	v.sharer.Join(addresses)
+}
+
+// record is what the store keeps of a VM.
+type record struct {
+	VM     string `json:"vm"`
+	Region string `json:"region"`
+}
+
+func (v *vm) run(ctx context.Context) error {
+	s := v.settings
+	klog.InfoS("entry VM starts", "vm", s.VM, "dataCentre", s.DataCentre, "region", s.Region, "callers", s.Callers, "peer", s.Peer,
+		"store", s.Store, "seeds", strings.Join(s.Seeds, ","))
+	self, err := json.Marshal(record{VM: s.VM, Region: s.Region})
+	if err != nil {
+		return errors.Wrap(err, "encode the record of this VM")
+	}
+	serving, end := context.WithCancel(context.Background())
+	defer end()
+	v.sharer.Join(s.Seeds)
+	group, serving := errgroup.WithContext(serving)
+	group.Go(func() error { return v.gateway.Serve(serving, v.sockets.callers) })
+	group.Go(func() error { return v.serveHealth(serving) })
+	group.Go(func() error { return v.sharer.Run(serving) })
+	group.Go(func() error { v.follower.Run(serving, v.sharer.Address(), self); return nil })
+	group.Go(func() error { v.maintain(serving); return nil })
+	group.Go(func() error { return v.serveCalls(serving) })
+	group.Go(func() error {
+		select {
+		case <-ctx.Done():
+			v.stop()
+			end()
+		case <-serving.Done():
+		}
+		return nil
+	})
+	err = group.Wait()
+	klog.InfoS("entry VM stopped", "vm", s.VM, "inFlight", v.gateway.InFlight(), "err", err)
+	return err
+}
+
+func (v *vm) serveCalls(ctx context.Context) error {
+	go func() {
+		<-ctx.Done()
+		if err := v.calls.Close(); err != nil {
+			klog.ErrorS(err, "close the listener for other VMs")
+		}
+		v.pool.Close()
+	}()
+	return v.calls.Serve(v.sockets.peer)
+}
--- /dev/null
+++ b/pkg/gateway/worktime.go
@@ -0,0 +1,68 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"github.com/hornbeamway/hornbeamway/pkg/routing"
+)
+
+const (
+	// initialWorkShare is the work that is expected of a route without answers yet, as a share of its objective.
+	initialWorkShare = 0.35
+	// initialBytes is the size that is expected of an answer of such a route, by whether its answers are large.
+	initialBytes     = 5_000
+	initialBulkBytes = 90_000
+	// learnWeight is the weight of one answer in the means.
+	learnWeight = 0.05
+)
+
+// workTimes holds the usual work and answer size of the requests of each route. It is safe for concurrent use.
+type workTimes struct {
+	mu     sync.Mutex
+	routes map[string]*routeWork
+}
+
+type routeWork struct {
+	work  float64 // nanoseconds at usual speed
+	bytes float64
+}
+
+func newWorkTimes() *workTimes { return &workTimes{routes: map[string]*routeWork{}} }
+
+func (w *workTimes) get(r *routing.Route) *routeWork {
+	found, ok := w.routes[r.Name]
+	if !ok {
+		found = &routeWork{work: initialWorkShare * float64(r.Objective), bytes: initialBytes}
+		if r.Bulk {
+			found.bytes = initialBulkBytes
+		}
+		w.routes[r.Name] = found
+	}
+	return found
+}
+
+// work returns the usual time that a server works on a request.
+func (w *workTimes) work(r *routing.Route) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return time.Duration(w.get(r).work)
+}
+
+// answerBytes returns the usual size of an answer.
+func (w *workTimes) answerBytes(r *routing.Route) float64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.get(r).bytes
+}
+
+// learn takes an answer that a server of the given slowness needed a time for. Times that include a wait are cut to twice
+// the mean.
+func (w *workTimes) learn(r *routing.Route, took time.Duration, slowness float64, bytes int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	found := w.get(r)
+	sample := min(float64(took)/max(slowness, 0.1), 2*found.work)
+	found.work += (sample - found.work) * learnWeight
+	found.bytes += (float64(bytes) - found.bytes) * learnWeight
+}
--- a/pkg/ingress/head.go
+++ b/pkg/ingress/head.go
@@ -2,8 +2,11 @@
 
 import (
 	"bytes"
+	"net"
+	"os"
 	"strings"
 
+	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
 	"github.com/hornbeamway/hornbeamway/pkg/problem"
@@ -64,6 +67,25 @@
 	return ""
 }
 
+// MalformedProblem is the answer to a request that the HTTP library could not read.
+func MalformedProblem(err error) *problem.Problem {
+	status, detail := fasthttp.StatusBadRequest, "malformed request"
+	var small *fasthttp.ErrSmallBuffer
+	switch {
+	case errors.As(err, &small):
+		status, detail = fasthttp.StatusRequestHeaderFieldsTooLarge, "request head is too large"
+	case IsTimeout(err):
+		status, detail = fasthttp.StatusRequestTimeout, "request did not arrive in time"
+	}
+	return problem.New(status, problem.NotRun, problem.ReasonBadRequest, detail)
+}
+
+// IsTimeout reports an error of a deadline.
+func IsTimeout(err error) bool {
+	var netErr net.Error
+	return errors.Is(err, os.ErrDeadlineExceeded) || errors.As(err, &netErr) && netErr.Timeout()
+}
+
 // isToken reports whether name is a token (RFC 9110, section 5.6.2). An empty name, a space before the colon and a folded
 // line are none.
 func isToken(name []byte) bool {
--- a/pkg/ingress/listener.go
+++ b/pkg/ingress/listener.go
@@ -99,3 +99,10 @@
 		c.stop()
 	}
 }
+
+// Open returns the number of open connections.
+func (l *Listener) Open() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.open)
+}
--- a/pkg/proxy/attempt.go
+++ b/pkg/proxy/attempt.go
@@ -43,7 +43,7 @@
 	if !failure.Written {
 		outcome = problem.NotRun
 	}
-	if incomplete := c.stream.problem(outcome); incomplete != nil {
+	if incomplete := streamProblem(c.stream, outcome); incomplete != nil {
 		return incomplete
 	}
 	var refused *problem.Problem
@@ -63,7 +63,7 @@
 
 func (c *call) resultOf(failure *upstream.Error) dispatch.ResultClass {
 	switch {
-	case failure.Cancelled, c.stream != nil && c.stream.err != nil:
+	case failure.Cancelled, c.stream != nil && c.stream.Err != nil:
 		return dispatch.Cancelled
 	case errors.Is(failure, upstream.ErrConnectionLimit), errors.Is(failure, upstream.ErrPaced):
 		return dispatch.Unsent
--- a/pkg/proxy/body.go
+++ b/pkg/proxy/body.go
@@ -7,15 +7,13 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/hornbeamway/hornbeamway/pkg/ingress"
 	"github.com/hornbeamway/hornbeamway/pkg/problem"
 )
 
 // bufferedBody is the largest request body in bytes that is kept in memory, so that it can be sent again.
 const bufferedBody = 64 << 10
 
-// errBodyTooLarge ends a body of unknown length at the route's limit.
-var errBodyTooLarge = errors.New("request body is larger than the route allows")
-
 // readBody takes small bodies into memory, so that they can be sent again and compared. Larger ones stay a stream, which
 // only idempotent routes allow. The stream of fasthttp's request is never replaced: that would give it back to the
 // library's pool while it is still read.
@@ -33,7 +31,7 @@
 		keep = limit
 	}
 	source := c.ctx.RequestBodyStream()
-	prefix, err := readPrefix(source, length, keep)
+	prefix, err := ingress.ReadPrefix(source, length, keep)
 	switch {
 	case err != nil:
 		return bodyIncomplete(err, problem.NotRun)
@@ -43,76 +41,31 @@
 	case len(prefix) > limit:
 		return bodyTooLarge(problem.NotRun)
 	}
-	c.stream = &bodyStream{source: io.MultiReader(bytes.NewReader(prefix), source), length: length, limit: limit}
+	c.stream = &ingress.BodyStream{Source: io.MultiReader(bytes.NewReader(prefix), source), Length: length, Limit: limit}
 	return nil
 }
 
-// readPrefix reads up to keep+1 bytes. A result of at most keep bytes is the whole body.
-func readPrefix(source io.Reader, length, keep int) ([]byte, error) {
-	if length < 0 {
-		return io.ReadAll(io.LimitReader(source, int64(keep)+1))
-	}
-	prefix := make([]byte, min(length, keep+1))
-	_, err := io.ReadFull(source, prefix)
-	return prefix, err
-}
-
 func bodyTooLarge(outcome problem.Outcome) *problem.Problem {
-	return problem.New(fasthttp.StatusRequestEntityTooLarge, outcome, problem.ReasonBodyTooLarge, errBodyTooLarge.Error())
+	return problem.New(fasthttp.StatusRequestEntityTooLarge, outcome, problem.ReasonBodyTooLarge, ingress.ErrBodyTooLarge.Error())
 }
 
 func bodyIncomplete(err error, outcome problem.Outcome) *problem.Problem {
 	status := fasthttp.StatusBadRequest
-	if isTimeout(err) {
+	if ingress.IsTimeout(err) {
 		status = fasthttp.StatusRequestTimeout
 	}
 	return problem.New(status, outcome, problem.ReasonBadRequest, "request body is incomplete")
 }
 
-// bodyStream is a request body that is relayed while the caller sends it. One attempt reads it.
-type bodyStream struct {
-	source io.Reader
-	length int // -1: not known
-	limit  int
-	read   int
-	// touched says that bytes were taken, so that the body cannot be sent again.
-	touched bool
-	// err is the error of the caller's side, nil while it is well.
-	err error
-	// onEnd runs when the last byte was read.
-	onEnd func()
-}
-
-// Read implements io.Reader. A body that is cut short or too large ends with an error, so that it is never sent as a
-// complete one.
-func (s *bodyStream) Read(p []byte) (int, error) {
-	s.touched = true
-	n, err := s.source.Read(p)
-	s.read += n
-	switch {
-	case s.read > s.limit:
-		err = errBodyTooLarge
-	case errors.Is(err, io.EOF) && s.read < s.length:
-		err = io.ErrUnexpectedEOF
-	}
-	switch {
-	case errors.Is(err, io.EOF):
-		s.onEnd()
-	case err != nil:
-		s.err = err
-	}
-	return n, err
-}
-
-// problem is the answer for a body that the caller did not send whole; nil if the caller's side is well.
-func (s *bodyStream) problem(outcome problem.Outcome) *problem.Problem {
+// streamProblem is the answer for a body that the caller did not send whole; nil if the caller's side is well.
+func streamProblem(s *ingress.BodyStream, outcome problem.Outcome) *problem.Problem {
 	switch {
-	case s == nil || s.err == nil:
+	case s == nil || s.Err == nil:
 		return nil
-	case errors.Is(s.err, errBodyTooLarge):
+	case errors.Is(s.Err, ingress.ErrBodyTooLarge):
 		return bodyTooLarge(outcome)
 	}
-	return bodyIncomplete(s.err, outcome)
+	return bodyIncomplete(s.Err, outcome)
 }
 
 // pacedReader waits for the right to send bytes before it hands them on.
--- a/pkg/proxy/call.go
+++ b/pkg/proxy/call.go
@@ -33,7 +33,7 @@
 	attempt int
 	// body is the whole body if stream is nil. Otherwise the body is only on the caller's connection.
 	body   []byte
-	stream *bodyStream
+	stream *ingress.BodyStream
 	// crossing says that the request body is sent to the other region: to the owner, a dispatcher or a backend server.
 	crossing bool
 	// mayHaveRun is set once an attempt may have been run, so that no later refusal is told as not run.
@@ -140,7 +140,7 @@
 func (c *call) replayable() bool { return c.stream == nil }
 
 // resendable says that the body can be sent although an attempt was made.
-func (c *call) resendable() bool { return c.stream == nil || !c.stream.touched }
+func (c *call) resendable() bool { return c.stream == nil || !c.stream.Touched }
 
 // requestID takes over a caller's request id if it is short visible ASCII, and makes one otherwise.
 func requestID(h *fasthttp.RequestHeader) string {
--- a/pkg/proxy/dispatch.go
+++ b/pkg/proxy/dispatch.go
@@ -17,7 +17,7 @@
 
 // dispatch brings the call to the dispatcher of the best pool, and to the next one while it is proved not run.
 func (p *Proxy) dispatch(ctx context.Context, c *call) error {
-	p.retries.earn(c.route.Service)
+	p.retries.Earn(c.route.Service)
 	var last error
 	for i, target := range p.Placement.Targets(c.route.Service, c.route.Class) {
 		if i == maxTargets {
@@ -99,7 +99,7 @@
 	if !c.route.Idempotent || c.attempt > 0 {
 		return false
 	}
-	if !p.retries.spend(c.route.Service) {
+	if !p.retries.Spend(c.route.Service) {
 		retriesRefused.get(c.route.Service).Inc()
 		return false
 	}
@@ -115,7 +115,7 @@
 
 // serveFromPool runs the call on a backend server of a pool that this VM dispatches. It retries within the pool.
 func (p *Proxy) serveFromPool(ctx context.Context, c *call, pool dispatch.PoolKey) error {
-	p.hedges.earn(c.route.Service)
+	p.hedges.Earn(c.route.Service)
 	request := dispatch.Request{Service: pool.Service, DataCentre: pool.DataCentre, Class: c.route.Class, Deadline: c.deadline}
 	for retry := 0; ; retry++ {
 		result := p.tryPool(ctx, c, pool, request, retry)
@@ -139,7 +139,7 @@
 	if !result.again || retry == maxRetries || c.attempt > 0 || ctx.Err() != nil || !p.timeLeft(c) {
 		return false
 	}
-	if !p.retries.spend(c.route.Service) {
+	if !p.retries.Spend(c.route.Service) {
 		retriesRefused.get(c.route.Service).Inc()
 		return false
 	}
--- a/pkg/proxy/entry.go
+++ b/pkg/proxy/entry.go
@@ -75,7 +75,7 @@
 	switch {
 	case length < 0 && ctx.Request.IsBodyStream():
 		return false
-	case c != nil && c.stream != nil && c.stream.read < length:
+	case c != nil && c.stream != nil && c.stream.Taken < length:
 		return false
 	}
 	return conn.EndsAfter(int64(max(length, 0)))
--- a/pkg/proxy/forward.go
+++ b/pkg/proxy/forward.go
@@ -199,7 +199,7 @@
 func (p *Proxy) serveHop(c *call, kind string, pool dispatch.PoolKey) error {
 	switch kind {
 	case hopDispatch:
-		p.retries.earn(c.route.Service)
+		p.retries.Earn(c.route.Service)
 		ctx, stop := p.watcher.Watch(context.Background(), c.ctx.Conn())
 		err := c.settle(p.serveFromPool(ctx, c, pool))
 		if !chainOnClose(&c.ctx.Response, stop) {
--- a/pkg/proxy/head.go
+++ b/pkg/proxy/head.go
@@ -1,11 +1,8 @@
 package proxy
 
 import (
-	"net"
-	"os"
 	"strings"
 
-	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
 	"github.com/hornbeamway/hornbeamway/pkg/dispatch"
@@ -16,15 +13,7 @@
 
 // answerMalformed answers a request that the library could not read.
 func answerMalformed(ctx *fasthttp.RequestCtx, err error) {
-	status, detail := fasthttp.StatusBadRequest, "malformed request"
-	var small *fasthttp.ErrSmallBuffer
-	switch {
-	case errors.As(err, &small):
-		status, detail = fasthttp.StatusRequestHeaderFieldsTooLarge, "request head is too large"
-	case isTimeout(err):
-		status, detail = fasthttp.StatusRequestTimeout, "request did not arrive in time"
-	}
-	answer := problem.New(status, problem.NotRun, problem.ReasonBadRequest, detail)
+	answer := ingress.MalformedProblem(err)
 	problem.Write(&ctx.Response, answer)
 	countProblem(answer)
 	ctx.SetConnectionClose()
@@ -33,11 +22,6 @@
 	}
 }
 
-func isTimeout(err error) bool {
-	var netErr net.Error
-	return errors.Is(err, os.ErrDeadlineExceeded) || errors.As(err, &netErr) && netErr.Timeout()
-}
-
 // parsePool reads the value of headerPool: service and data centre.
 func parsePool(value []byte) dispatch.PoolKey {
 	service, dataCentre, _ := strings.Cut(string(value), "/")
--- a/pkg/proxy/hedge.go
+++ b/pkg/proxy/hedge.go
@@ -83,7 +83,7 @@
 
 func (p *Proxy) runSecond(ctx context.Context, first try, request dispatch.Request, resp *fasthttp.Response, second *hedge) {
 	c := first.call
-	if ctx.Err() != nil || !p.hedges.spend(c.route.Service) {
+	if ctx.Err() != nil || !p.hedges.Spend(c.route.Service) {
 		return
 	}
 	request.Hedged = true
--- a/pkg/proxy/outgoing.go
+++ b/pkg/proxy/outgoing.go
@@ -25,7 +25,7 @@
 	case c.stream != nil:
 		req.SetBodyStream(c.stream, length)
 		// Trailers arrive behind the last byte of the body.
-		c.stream.onEnd = func() { copyTrailers(&req.Header, &in.Header) }
+		c.stream.OnEnd = func() { copyTrailers(&req.Header, &in.Header) }
 	case length < 0 && len(in.Header.PeekTrailerKeys()) > 0:
 		// Only a chunked body carries trailers.
 		req.SetBodyStream(bytes.NewReader(c.body), -1)
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -21,6 +21,7 @@
 	"github.com/hornbeamway/hornbeamway/pkg/operation"
 	"github.com/hornbeamway/hornbeamway/pkg/preset"
 	"github.com/hornbeamway/hornbeamway/pkg/priority"
+	"github.com/hornbeamway/hornbeamway/pkg/retrybudget"
 	"github.com/hornbeamway/hornbeamway/pkg/upstream"
 )
 
@@ -93,8 +94,8 @@
 type Proxy struct {
 	Options
 	watcher  *ingress.Watcher
-	retries  *budgets
-	hedges   *budgets
+	retries  *retrybudget.Budgets
+	hedges   *retrybudget.Budgets
 	callers  *fasthttp.Server
 	forward  *fasthttp.Server
 	draining atomic.Bool
@@ -119,8 +120,8 @@
 	p := &Proxy{
 		Options: o,
 		watcher: ingress.NewWatcher(),
-		retries: newBudgets(retryShare, budgetBurst),
-		hedges:  newBudgets(hedgeShare, budgetBurst),
+		retries: retrybudget.New(retryShare, budgetBurst),
+		hedges:  retrybudget.New(hedgeShare, budgetBurst),
 	}
 	p.callers = p.newServer(p.serveCaller, o.Limits.Connections)
 	p.forward = p.newServer(p.serveForwarded, forwardConcurrency)
--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -14,6 +14,12 @@
 // relayed. Larger bodies are streamed.
 const smallBody = 16 << 10
 
+// maxStrayAnswers bounds the answers of earlier requests that are skipped, and strayBody the size in bytes of each.
+const (
+	maxStrayAnswers = 4
+	strayBody       = 4 << 20
+)
+
 // maxInterimAnswers bounds the number of 1xx answers before the final one.
 const maxInterimAnswers = 16
 
@@ -145,10 +151,42 @@
 			return err
 		}
 	}
-	skipBody := x.req.Header.IsHead()
+	x.resetAnswer()
+	for stray := 0; ; {
+		if err := x.readFinalHead(); err != nil {
+			return err
+		}
+		if x.attempt.Expects == nil || x.attempt.Expects(&x.resp.Header) {
+			return nil
+		}
+		if stray++; stray > maxStrayAnswers {
+			return errors.New("too many answers of earlier requests")
+		}
+		if err := x.skipStray(); err != nil {
+			return errors.Wrap(err, "skip the answer of an earlier request")
+		}
+	}
+}
+
+func (x *exchange) resetAnswer() {
 	x.resp.Reset()
-	x.resp.SkipBody = skipBody
+	x.resp.SkipBody = x.req.Header.IsHead()
 	x.resp.Header.SetNoDefaultContentType(true)
+}
+
+// skipStray drops an answer that belongs to an earlier request.
+func (x *exchange) skipStray() error {
+	x.conn.broken = true
+	if x.resp.Header.ContentLength() == identityBody {
+		return errors.New("the answer has no end")
+	}
+	err := x.resp.ReadBody(x.conn.reader, strayBody)
+	x.resetAnswer()
+	return err
+}
+
+// readFinalHead reads the next head that is not an interim one.
+func (x *exchange) readFinalHead() error {
 	for range maxInterimAnswers {
 		if err := x.resp.Header.Read(x.conn.reader); err != nil {
 			return err
--- a/pkg/upstream/host.go
+++ b/pkg/upstream/host.go
@@ -148,6 +148,17 @@
 	return nil
 }
 
+// hasIdle reports whether the newest idle connection is recent enough.
+func (h *host) hasIdle(idempotent bool) bool {
+	maxAge := h.opts.IdleTimeout
+	if !idempotent {
+		maxAge = h.opts.FreshTimeout
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.idle) > 0 && h.opts.Clock.Now().Sub(h.idle[len(h.idle)-1].lastAnswer) <= maxAge
+}
+
 // closedByPeer looks at the socket without blocking: an end of stream, an error or unexpected bytes make the connection
 // unusable. This finds most connections that the other side closed while they were idle.
 func (c *conn) closedByPeer() bool {
--- a/pkg/upstream/transport.go
+++ b/pkg/upstream/transport.go
@@ -90,6 +90,9 @@
 	FirstByteTimeout time.Duration
 	// BeforeWrite is called right before the first byte is written. An error ends the attempt as not written.
 	BeforeWrite func() error
+	// Expects reports whether an answer belongs to this request. Answers that do not, such as a late second answer to an
+	// earlier request, are read and dropped, and the connection is not used again. Nil: every answer is expected.
+	Expects func(h *fasthttp.ResponseHeader) bool
 }
 
 // Transport keeps idle connections per address. It is safe for concurrent use.
@@ -130,6 +133,14 @@
 	}
 }
 
+// HasIdle reports whether an idle connection to address suits a request.
+func (t *Transport) HasIdle(address string, idempotent bool) bool {
+	t.mu.Lock()
+	h, ok := t.hosts[address]
+	t.mu.Unlock()
+	return ok && h.hasIdle(idempotent)
+}
+
 // CloseIdle closes all idle connections to address.
 func (t *Transport) CloseIdle(address string) {
 	t.host(address).closeIdle(time.Time{})
