Hedge slow requests, probe stale servers, stop taking requests in time

Of the lookups sent on a figure younger than 25 ms 7.6% came late, of those sent on one older than 100 ms 20 to 40%.

Change: a second attempt runs beside the first instead of in its place, when the answer is overdue or the server is known to have become slow and another one can still meet the objective. Each server of a service with short objectives is asked for its load by one VM of its data centre when its figure is older than 80 ms. After the stop signal no requests are taken in the last 2.8 s of the stop time.

Ruled out: longer queues as the cause (7% of late lookups had three or more requests in flight at their server).

--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -99,6 +99,8 @@
 	servers []*server
 	// slowness is the mean of the figures.
 	slowness float64
+	// urgentAt is when a request with a short objective was last served.
+	urgentAt time.Time
 }
 
 // server is one backend server as this VM knows it.
@@ -136,7 +138,7 @@
 	for name, infos := range view.ByService {
 		svc := &service{slowness: initialSlowness}
 		if before, ok := oldServices[name]; ok {
-			svc.slowness = before.slowness
+			svc.slowness, svc.urgentAt = before.slowness, before.urgentAt
 		}
 		for _, info := range infos {
 			key := KeyOf(info)
@@ -160,6 +162,9 @@
 	if svc == nil {
 		return Choice{}, false
 	}
+	if r.Objective <= urgentObjective {
+		svc.urgentAt = now
+	}
 	best, bestCost := (*server)(nil), 0.0
 	for _, s := range svc.servers {
 		if s.misdirected || excluded(r.Exclude, s.key) {
@@ -285,6 +290,39 @@
 	return own
 }
 
+// OwnAt returns the number of requests that this VM has in flight at a server.
+func (b *Balancer) OwnAt(key Key) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if s, known := b.servers[key]; known {
+		return s.own
+	}
+	return 0
+}
+
+// Urgent reports whether this VM has lately served requests of a service that have a short objective.
+func (b *Balancer) Urgent(name string, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	svc := b.services[name]
+	return svc != nil && !svc.urgentAt.IsZero() && now.Sub(svc.urgentAt) < urgentMemory
+}
+
+// Slowness returns the slowness that is expected of a server now; 1 if the server is unknown.
+func (b *Balancer) Slowness(key Key, now time.Time) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s, known := b.servers[key]
+	if !known {
+		return 1
+	}
+	svc := b.services[s.info.Service]
+	if svc == nil {
+		return 1
+	}
+	return s.slowness(svc, now)
+}
+
 // FigureAge returns the age of a server's last figure; ok is false if there is none or the server is unknown.
 func (b *Balancer) FigureAge(key Key, now time.Time) (age time.Duration, ok bool) {
 	b.mu.Lock()
--- a/pkg/entryvm/life.go
+++ b/pkg/entryvm/life.go
@@ -23,10 +23,11 @@
 	maintainInterval = time.Second
 	// stopMargin is the time before the end of the stop time at which the process ends, whatever is in flight.
 	stopMargin = 250 * time.Millisecond
-	// refuseMargin is the time before the end of the stop time from which no further requests are taken.
-	refuseMargin = 1400 * time.Millisecond
+	// refuseMargin is the time before the end of the stop time from which no further requests are taken, so that those taken
+	// before can end.
+	refuseMargin = 2800 * time.Millisecond
 	// noticeTime is the time in which the platform notices that health checks fail.
-	noticeTime = 3500 * time.Millisecond
+	noticeTime = 3 * time.Second
 	// stopCheck is how often the end of the requests in flight is looked for.
 	stopCheck = 20 * time.Millisecond
 	// healthReadTimeout bounds the arrival of a health check.
--- a/pkg/entryvm/vm.go
+++ b/pkg/entryvm/vm.go
@@ -20,6 +20,7 @@
 	"github.com/hornbeamway/hornbeamway/pkg/gateway"
 	"github.com/hornbeamway/hornbeamway/pkg/loadshare"
 	"github.com/hornbeamway/hornbeamway/pkg/peer"
+	"github.com/hornbeamway/hornbeamway/pkg/prober"
 	"github.com/hornbeamway/hornbeamway/pkg/retrybudget"
 	"github.com/hornbeamway/hornbeamway/pkg/routing"
 	"github.com/hornbeamway/hornbeamway/pkg/upstream"
@@ -33,7 +34,10 @@
 	// Store opens the client of the store at an address.
 	Store   func(address string, t *upstream.Transport) directory.Store
 	Codec   directory.Codec
-	Dialect gateway.Dialect
+	Dialect interface {
+		gateway.Dialect
+		prober.Figures
+	}
 	// Reload reads the settings again.
 	Reload func() (*Settings, error)
 }
@@ -72,6 +76,7 @@
 	follower *directory.Follower
 	sharer   *loadshare.Sharer
 	gateway  *gateway.Gateway
+	prober   *prober.Prober
 	retries  *retrybudget.Budgets
 	calls    *peer.Server
 	pool     *peer.Pool
@@ -103,7 +108,7 @@
 		return directory.NewState(system, p.Codec, b.SetServers), nil
 	})
 	do.Provide(i, func(i do.Injector) (*loadshare.Sharer, error) {
-		return loadshare.New(loadshare.Options{Clock: system, VM: s.VM, Region: s.Region, Conn: l.datagrams,
+		return loadshare.New(loadshare.Options{Clock: system, VM: s.VM, DataCentre: s.DataCentre, Region: s.Region, Conn: l.datagrams,
 			Balancer: do.MustInvoke[*balance.Balancer](i), Digest: do.MustInvoke[*directory.State](i).Digest,
 			Observe: func(address string, d directory.Digest) { v.follower.Observe(address, d) }}), nil
 	})
@@ -111,10 +116,16 @@
 		store := p.Store(s.Store, upstream.NewTransport(storeTransport()))
 		return directory.NewFollower(system, do.MustInvoke[*directory.State](i), store, v, v.joined), nil
 	})
+	do.ProvideValue(i, upstream.NewTransport(v.serverTransport()))
+	do.Provide(i, func(i do.Injector) (*prober.Prober, error) {
+		return prober.New(prober.Options{Clock: system, Figures: p.Dialect, State: do.MustInvoke[*directory.State](i),
+			Balancer: do.MustInvoke[*balance.Balancer](i), Servers: do.MustInvoke[*upstream.Transport](i),
+			Assigned: v.probes, Tell: do.MustInvoke[*loadshare.Sharer](i).Tell}), nil
+	})
 	do.Provide(i, func(i do.Injector) (*gateway.Gateway, error) {
 		return gateway.New(gateway.Options{Clock: system, Dialect: p.Dialect, State: do.MustInvoke[*directory.State](i),
 			Balancer: do.MustInvoke[*balance.Balancer](i), Splitter: routing.NewSplitter(float64(seed%1000) / 1000),
-			Servers: upstream.NewTransport(v.serverTransport()), Retries: do.MustInvoke[*retrybudget.Budgets](i),
+			Servers: do.MustInvoke[*upstream.Transport](i), Retries: do.MustInvoke[*retrybudget.Budgets](i),
 			Tell: do.MustInvoke[*loadshare.Sharer](i).Tell}), nil
 	})
 	options := peer.Options{ID: s.VM, Secret: s.Store}
@@ -124,6 +135,7 @@
 		return nil, err
 	}
 	v.state, v.sharer = do.MustInvoke[*directory.State](i), do.MustInvoke[*loadshare.Sharer](i)
+	v.prober = do.MustInvoke[*prober.Prober](i)
 	v.retries, v.follower = do.MustInvoke[*retrybudget.Budgets](i), do.MustInvoke[*directory.Follower](i)
 	peer.Handle(v.calls, methodSnapshot, func(context.Context, struct{}) (directory.Snapshot, error) {
 		return v.state.Snapshot(), nil
@@ -137,6 +149,11 @@
 // Rank implements directory.Peers.
 func (v *vm) Rank() int { return v.sharer.Rank("read the store") }
 
+// probes reports whether this VM asks a server for its load.
+func (v *vm) probes(s *directory.Server) bool {
+	return s.Region == v.settings.Region && v.sharer.Assigned("probe "+s.ID, s.DataCentre)
+}
+
 // Seeds implements directory.Peers.
 func (v *vm) Seeds() []string {
 	if live := v.sharer.LiveInRegion(); len(live) > 0 {
@@ -188,6 +205,7 @@
 	group.Go(func() error { return v.sharer.Run(serving) })
 	group.Go(func() error { v.follower.Run(serving, v.sharer.Address(), self); return nil })
 	group.Go(func() error { v.maintain(serving); return nil })
+	group.Go(func() error { v.prober.Run(serving); return nil })
 	group.Go(func() error { return v.serveCalls(serving) })
 	group.Go(func() error {
 		select {
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -128,6 +128,10 @@
 	}
 	if !c.ctx.Request.IsBodyStream() {
 		c.body = c.ctx.Request.Body()
+		if c.route.Idempotent {
+			// A second attempt may still send the body when the library uses its buffer for the next request.
+			c.body = bytes.Clone(c.body)
+		}
 		return nil
 	}
 	source, keep := c.ctx.RequestBodyStream(), min(limit, keptBody)
@@ -179,6 +183,17 @@
 	return req
 }
 
+// deliver puts the answer of an attempt into the caller's response.
+func (c *call) deliver(r result) {
+	out := &c.ctx.Response
+	r.resp.Header.CopyTo(&out.Header)
+	if stream, ok := r.resp.BodyStream().(*upstream.Body); ok {
+		out.SetBodyStream(stream, max(-1, r.resp.Header.ContentLength()))
+		return
+	}
+	out.SetBodyRaw(r.resp.Body())
+}
+
 // size is the number of bytes of the request.
 func (c *call) size() float64 { return float64(len(c.body)) }
 
--- a/pkg/gateway/record.go
+++ b/pkg/gateway/record.go
@@ -10,7 +10,6 @@
 	"github.com/valyala/fasthttp"
 	"k8s.io/klog/v2"
 
-	"github.com/hornbeamway/hornbeamway/pkg/balance"
 	"github.com/hornbeamway/hornbeamway/pkg/ingress"
 	"github.com/hornbeamway/hornbeamway/pkg/problem"
 )
@@ -36,14 +35,19 @@
 }
 
 // note describes an attempt for the log: where it went, on which figures, and how it ended.
-func (c *call) note(choice balance.Choice, r result) {
+func (c *call) note(r result) {
+	choice := r.choice
 	metrics.GetOrCreateCounter(fmt.Sprintf(`hornbeamway_gateway_attempts_total{service=%q,outcome="%d"}`, c.service, r.outcome)).Inc()
 	if c.trace.Len() > 0 {
 		c.trace.WriteByte(' ')
 	}
-	fmt.Fprintf(&c.trace, "[server=%s address=%s busy=%d slowness=%.2f figureAge=%dms expected=%dms result=%q]",
+	fmt.Fprintf(&c.trace, "[server=%s address=%s busy=%d slowness=%.2f figureAge=%dms expected=%dms result=%q",
 		choice.Server.ID, choice.Server.Address, choice.Busy, choice.Slowness, choice.FigureAge.Milliseconds(),
 		choice.Expected.Milliseconds(), r.detail)
+	if r.figure != nil {
+		fmt.Fprintf(&c.trace, " told=%d,%d,%.2f", r.figure.Running, r.figure.Waiting, r.figure.Slowness)
+	}
+	c.trace.WriteByte(']')
 }
 
 // finish counts the request and writes its line.
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -2,14 +2,11 @@
 
 import (
 	"context"
-	"io"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
 	"github.com/hornbeamway/hornbeamway/pkg/balance"
-	"github.com/hornbeamway/hornbeamway/pkg/loadshare"
 	"github.com/hornbeamway/hornbeamway/pkg/problem"
 	"github.com/hornbeamway/hornbeamway/pkg/upstream"
 )
@@ -20,11 +17,6 @@
 	noServerRetry = 150 * time.Millisecond
 	// leastLeft is the time left below which a request is not sent any more.
 	leastLeft = 5 * time.Millisecond
-	// keptAnswer is the largest answer in bytes that is read whole before it is relayed, so that a broken one can be
-	// replaced by the answer of another server.
-	keptAnswer = 1 << 20
-	// firstShare is the share of the time left that an attempt may take while another one is possible.
-	firstShare = 0.6
 	// overloadFactor is the expected time in objectives above which a request is refused, because it would be late anyway
 	// and make others late.
 	overloadFactor = 2.0
@@ -32,19 +24,6 @@
 	overloadRetryShare = 0.25
 )
 
-// result is the end of one attempt.
-type result struct {
-	outcome balance.Outcome
-	// delivered says that the answer is in the response.
-	delivered bool
-	// notRun says that the server certainly did not run the request, and arrived that it may have received it.
-	notRun, arrived bool
-	// err is the answer to the caller if no other attempt follows.
-	err *problem.Problem
-	// detail is for the log.
-	detail string
-}
-
 // serve brings a request to a server. The error is a *problem.Problem.
 func (g *Gateway) serve(c *call) error {
 	if err := g.admit(c); err != nil {
@@ -61,32 +40,61 @@
 	return err
 }
 
-// attempts sends the request until a server has answered it or no further attempt is allowed.
+// attempts sends the request until a server has answered it or no further attempt is allowed. An attempt that takes long
+// goes on while a second one runs beside it; the first good answer counts.
 func (g *Gateway) attempts(ctx context.Context, c *call) error {
-	var last *problem.Problem
-	for number := 1; ; number++ {
-		choice, refusal := g.choose(c)
-		if refusal != nil {
-			if last != nil {
-				return last
+	choice, refusal := g.choose(c)
+	if refusal != nil {
+		return refusal
+	}
+	results := make(chan result, c.route.MaxAttempts)
+	losers, cancelLosers := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancelLosers()
+	g.launch(ctx, losers, c, choice, results)
+	plan := g.planHedge(c, choice)
+	hedge := time.NewTimer(plan.next(g.Clock.Now()))
+	defer hedge.Stop()
+	for running := 1; ; {
+		select {
+		case <-hedge.C:
+			if g.hedge(ctx, losers, c, plan, results) {
+				running++
+			} else {
+				hedge.Reset(plan.next(g.Clock.Now()))
 			}
-			return refusal
-		}
-		r := g.attempt(ctx, c, choice, number)
-		c.note(choice, r)
-		if r.delivered {
-			return nil
-		}
-		if !r.notRun {
-			c.mayHaveRun = true
-		}
-		last = r.err
-		if !g.mayRepeat(ctx, c, r, number) {
-			return last
+			continue
+		case r := <-results:
+			running--
+			c.note(r)
+			if r.delivered {
+				c.deliver(r)
+				return nil
+			}
+			c.mayHaveRun = c.mayHaveRun || !r.notRun
+			if running > 0 {
+				continue
+			}
+			if !g.mayRepeat(ctx, c, r) {
+				return r.err
+			}
+			choice, refusal := g.choose(c)
+			if refusal != nil {
+				return r.err
+			}
+			g.launch(ctx, losers, c, choice, results)
+			running++
 		}
 	}
 }
 
+// launch starts an attempt. ctx ends when the caller leaves, losers when another attempt has answered.
+func (g *Gateway) launch(ctx, losers context.Context, c *call, choice balance.Choice, results chan result) {
+	c.sent = append(c.sent, choice.Key)
+	a := attempt{gateway: g, route: c.route, id: c.head.ID, choice: choice, deadline: c.deadline, stream: c.stream,
+		req: g.outgoing(c, choice.Server.ID), resp: &fasthttp.Response{}, lastOne: len(c.sent) >= c.route.MaxAttempts}
+	go func() { results <- a.run(ctx, losers) }()
+}
+
 // choose picks a server, or says why none is used.
 func (g *Gateway) choose(c *call) (balance.Choice, *problem.Problem) {
 	now := g.Clock.Now()
@@ -108,10 +116,10 @@
 	return choice, nil
 }
 
-// mayRepeat decides whether another attempt may follow, and pays for it.
-func (g *Gateway) mayRepeat(ctx context.Context, c *call, r result, number int) bool {
+// mayRepeat decides whether another attempt may follow r, and pays for it.
+func (g *Gateway) mayRepeat(ctx context.Context, c *call, r result) bool {
 	switch {
-	case number >= c.route.MaxAttempts, ctx.Err() != nil, c.stream != nil && c.stream.Touched:
+	case len(c.sent) >= c.route.MaxAttempts, ctx.Err() != nil, c.stream != nil && c.stream.Touched:
 		return false
 	case !r.notRun && !c.route.Idempotent:
 		return false
@@ -124,162 +132,3 @@
 	}
 	return true
 }
-
-// attempt sends the request to one server.
-func (g *Gateway) attempt(ctx context.Context, c *call, choice balance.Choice, number int) result {
-	c.sent = append(c.sent, choice.Key)
-	req := g.outgoing(c, choice.Server.ID)
-	defer fasthttp.ReleaseRequest(req)
-	started := g.Clock.Now()
-	g.Tell(loadshare.Event{Key: choice.Key, Count: g.Balancer.Begin(choice.Key)})
-	attemptCtx, cancel := g.attemptContext(ctx, c)
-	defer cancel()
-	resp := &c.ctx.Response
-	err := g.Servers.RoundTrip(attemptCtx, upstream.Attempt{
-		Address: choice.Server.Address, Idempotent: c.route.Idempotent, Deadline: g.attemptDeadline(c, started, number),
-		BeforeWrite: func() error { return ctx.Err() },
-		Expects: func(h *fasthttp.ResponseHeader) bool {
-			id := g.Dialect.Answer(h).RequestID
-			return id == "" || id == c.head.ID
-		},
-	}, req, resp)
-	var answer Answer
-	if err == nil {
-		answer = g.Dialect.Answer(&resp.Header)
-		err = keepAnswer(resp)
-	}
-	now := g.Clock.Now()
-	var r result
-	if err != nil {
-		r = g.failed(c, err)
-	} else {
-		r = g.judge(c, answer, resp)
-	}
-	event := loadshare.Event{Key: choice.Key, Outcome: &r.outcome, Figure: answer.Figure}
-	if answer.Figure != nil {
-		g.Balancer.Learn(choice.Key, *answer.Figure, now)
-	}
-	event.Count = g.Balancer.End(choice.Key, r.outcome, now)
-	g.Tell(event)
-	if r.delivered {
-		g.work.learn(c.route, now.Sub(started), choice.Slowness, len(resp.Body()))
-	}
-	if !r.delivered {
-		resp.Reset()
-	}
-	return r
-}
-
-// attemptContext ends when the caller leaves. A request that may run only once is not broken off, because its outcome would
-// stay unknown.
-func (g *Gateway) attemptContext(ctx context.Context, c *call) (context.Context, context.CancelFunc) {
-	if c.route.Idempotent {
-		return context.WithCancel(ctx)
-	}
-	return context.WithCancel(context.WithoutCancel(ctx))
-}
-
-// attemptDeadline leaves time for another attempt where one is allowed.
-func (g *Gateway) attemptDeadline(c *call, now time.Time, number int) time.Time {
-	if !c.route.Idempotent || number >= c.route.MaxAttempts || c.stream != nil {
-		return c.deadline
-	}
-	return now.Add(time.Duration(firstShare * float64(c.deadline.Sub(now))))
-}
-
-// keepAnswer reads an answer of moderate size whole. A larger one stays a stream.
-func keepAnswer(resp *fasthttp.Response) error {
-	stream, ok := resp.BodyStream().(*upstream.Body)
-	if !ok {
-		return nil
-	}
-	if resp.Header.ContentLength() > keptAnswer {
-		return nil
-	}
-	body, err := io.ReadAll(io.LimitReader(stream, keptAnswer+1))
-	switch {
-	case err != nil:
-		return &upstream.Error{Stage: upstream.StageRead, Written: true, Timeout: isTimeout(err), Cause: err}
-	case len(body) > keptAnswer:
-		stream.Unread(body)
-		return nil
-	}
-	// Closing the stream gives the connection back.
-	if err := resp.CloseBodyStream(); err != nil {
-		return &upstream.Error{Stage: upstream.StageRead, Written: true, Cause: err}
-	}
-	resp.SetBodyRaw(body)
-	return nil
-}
-
-// judge reads a whole answer.
-func (g *Gateway) judge(c *call, a Answer, resp *fasthttp.Response) result {
-	status := resp.StatusCode()
-	switch {
-	case a.Misdirected:
-		return result{outcome: balance.Misdirected, notRun: true, arrived: true, detail: "another server at the address",
-			err: notRun(problem.ReasonUpstream, "the backend server was replaced", noServerRetry)}
-	case a.NotRun:
-		return result{outcome: balance.Full, notRun: true, arrived: true, detail: "not run by the server",
-			err: notRun(problem.ReasonQueueFull, "the backend server did not run the request", noServerRetry)}
-	case a.RequestID != c.head.ID:
-		return broken("the answer names no request")
-	case !a.Signed && status < fasthttp.StatusMultipleChoices:
-		return broken("a success without the server's proof")
-	case status == fasthttp.StatusServiceUnavailable, status == fasthttp.StatusTooManyRequests,
-		status == fasthttp.StatusRequestTimeout, status == fasthttp.StatusMisdirectedRequest:
-		// These promise the caller that the request was not run, which this server did not say.
-		return broken("a refusal that does not say that the request was not run")
-	case status >= fasthttp.StatusInternalServerError:
-		return g.serverError(c, status)
-	}
-	g.Dialect.CleanAnswer(&resp.Header)
-	return result{outcome: balance.Answered, delivered: true, arrived: true, detail: "answered"}
-}
-
-// serverError relays a failure of the server, unless the request can be sent to another one.
-func (g *Gateway) serverError(c *call, status int) result {
-	r := result{outcome: balance.Failed, arrived: true, detail: "server error"}
-	if c.route.Idempotent && len(c.sent) < c.route.MaxAttempts {
-		r.err = problem.New(status, problem.Unknown, problem.ReasonUpstream, "the backend server failed")
-		return r
-	}
-	g.Dialect.CleanAnswer(&c.ctx.Response.Header)
-	r.delivered = true
-	return r
-}
-
-func broken(detail string) result {
-	return result{outcome: balance.Failed, arrived: true, detail: detail,
-		err: problem.New(fasthttp.StatusBadGateway, problem.Unknown, problem.ReasonUpstream, detail)}
-}
-
-// failed reads an error of the transport.
-func (g *Gateway) failed(c *call, err error) result {
-	var failure *upstream.Error
-	if !errors.As(err, &failure) {
-		return broken(err.Error())
-	}
-	r := result{outcome: balance.Failed, notRun: !failure.Written, arrived: failure.Written, detail: failure.Error()}
-	switch {
-	case c.stream != nil && c.stream.Err != nil:
-		r.outcome, r.err = balance.Abandoned, bodyProblem(c.stream.Err)
-		if !r.notRun {
-			r.err = problem.New(fasthttp.StatusBadGateway, problem.Unknown, problem.ReasonBadRequest, "the request body broke off")
-		}
-	case failure.Cancelled:
-		r.outcome = balance.Abandoned
-		r.err = problem.New(fasthttp.StatusBadGateway, problem.Unknown, problem.ReasonCancelled, "the caller closed the connection")
-	case r.notRun:
-		r.outcome = balance.Unreachable
-		if errors.Is(failure.Cause, upstream.ErrConnectionLimit) || errors.Is(failure.Cause, upstream.ErrPaced) {
-			r.outcome = balance.Full
-		}
-		r.err = notRun(problem.ReasonUpstream, failure.Error(), noServerRetry)
-	case failure.Timeout:
-		r.err = problem.New(fasthttp.StatusGatewayTimeout, problem.Unknown, problem.ReasonDeadline, "no answer in time")
-	default:
-		r.err = problem.New(fasthttp.StatusBadGateway, problem.Unknown, problem.ReasonUpstream, failure.Error())
-	}
-	return r
-}
--- a/pkg/loadshare/message.go
+++ b/pkg/loadshare/message.go
@@ -33,10 +33,11 @@
 
 // message is one datagram.
 type message struct {
-	// vm and region are the sender's name and place; start its start in Unix milliseconds and sequence counts its datagrams.
-	vm, region string
-	start      int64
-	sequence   uint64
+	// vm, dataCentre and region are the sender's name and place; start its start in Unix milliseconds, and sequence counts
+	// its datagrams.
+	vm, dataCentre, region string
+	start                  int64
+	sequence               uint64
 	// heartbeat says that counts are complete and that digest and known are set.
 	heartbeat bool
 	counts    map[balance.Key]int
@@ -55,6 +56,7 @@
 func (m *message) encode(b []byte) []byte {
 	b = msgp.AppendInt(b, messageVersion)
 	b = msgp.AppendString(b, m.vm)
+	b = msgp.AppendString(b, m.dataCentre)
 	b = msgp.AppendString(b, m.region)
 	b = msgp.AppendInt64(b, m.start)
 	b = msgp.AppendUint64(b, m.sequence)
@@ -133,8 +135,9 @@
 	if version := decodeNext(d, msgp.ReadIntBytes); d.err == nil && version != messageVersion {
 		return nil, errors.Wrapf(ErrMessage, "version %d", version)
 	}
-	m := &message{vm: decodeNext(d, msgp.ReadStringBytes), region: decodeNext(d, msgp.ReadStringBytes),
-		start: decodeNext(d, msgp.ReadInt64Bytes), sequence: decodeNext(d, msgp.ReadUint64Bytes),
+	m := &message{vm: decodeNext(d, msgp.ReadStringBytes), dataCentre: decodeNext(d, msgp.ReadStringBytes),
+		region: decodeNext(d, msgp.ReadStringBytes),
+		start:  decodeNext(d, msgp.ReadInt64Bytes), sequence: decodeNext(d, msgp.ReadUint64Bytes),
 		heartbeat: decodeNext(d, msgp.ReadBoolBytes)}
 	for range d.length(msgp.ReadArrayHeaderBytes) {
 		m.events = append(m.events, decodeEvent(d))
--- a/pkg/loadshare/peers.go
+++ b/pkg/loadshare/peers.go
@@ -26,10 +26,12 @@
 
 // peer is another entry VM.
 type peer struct {
-	address      netip.AddrPort
-	name, region string
-	start        int64
-	sequence     uint64
+	address    netip.AddrPort
+	name       string
+	dataCentre string
+	region     string
+	start      int64
+	sequence   uint64
 	// added is when the address was learnt, heard the time of the last datagram; zero: none yet.
 	added, heard time.Time
 	live         bool
@@ -69,7 +71,7 @@
 	if !p.live {
 		klog.InfoS("VM heard", "vm", m.vm, "address", from, "region", m.region, "start", m.start)
 	}
-	p.live, p.heard, p.name, p.region = true, now, m.vm, m.region
+	p.live, p.heard, p.name, p.dataCentre, p.region = true, now, m.vm, m.dataCentre, m.region
 	if m.start < p.start || m.start == p.start && m.sequence <= p.sequence {
 		return false
 	}
@@ -157,6 +159,37 @@
 	return addresses
 }
 
+// liveInDataCentre returns the addresses of the live VMs of a data centre, this one included, and of the region if the data
+// centre has none.
+func (s *Sharer) liveInDataCentre(dataCentre string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var near, region []string
+	if s.DataCentre == dataCentre {
+		near = append(near, s.self.String())
+	}
+	region = append(region, s.self.String())
+	for address, p := range s.peers {
+		if !p.live || p.region != s.Region {
+			continue
+		}
+		region = append(region, address.String())
+		if p.dataCentre == dataCentre {
+			near = append(near, address.String())
+		}
+	}
+	if len(near) > 0 {
+		return near
+	}
+	return region
+}
+
+// Assigned reports whether a duty for something in a data centre of this region falls to this VM.
+func (s *Sharer) Assigned(duty, dataCentre string) bool {
+	order := dispatch.Rank(dispatch.PoolKey{Service: duty, DataCentre: dataCentre}, s.liveInDataCentre(dataCentre))
+	return order[0] == s.self.String()
+}
+
 // Rank returns the number of live VMs of the region that come before this one in the rendezvous order of a duty.
 func (s *Sharer) Rank(duty string) int {
 	ids := append(s.LiveInRegion(), s.Address())
--- a/pkg/loadshare/sharer.go
+++ b/pkg/loadshare/sharer.go
@@ -40,8 +40,8 @@
 // Options are the parts of a Sharer.
 type Options struct {
 	Clock clock.Clock
-	// VM and Region name the sender.
-	VM, Region string
+	// VM, DataCentre and Region name the sender and its place.
+	VM, DataCentre, Region string
 	// Conn sends and receives datagrams. Its local address is how other VMs know this one.
 	Conn     *net.UDPConn
 	Balancer *balance.Balancer
@@ -93,7 +93,7 @@
 }
 
 func (s *Sharer) message() message {
-	return message{vm: s.VM, region: s.Region, start: s.start, sequence: s.sequence.Add(1)}
+	return message{vm: s.VM, dataCentre: s.DataCentre, region: s.Region, start: s.start, sequence: s.sequence.Add(1)}
 }
 
 func (s *Sharer) sendEvents(ctx context.Context) {
--- a/pkg/retrybudget/budget.go
+++ b/pkg/retrybudget/budget.go
@@ -35,10 +35,13 @@
 }
 
 // Spend takes the price of one second attempt. It reports false if the budget is used up.
-func (b *Budgets) Spend(service string) bool {
+func (b *Budgets) Spend(service string) bool { return b.SpendAbove(service, 0) }
+
+// SpendAbove is Spend for attempts that must leave a share of the largest number of tokens to others.
+func (b *Budgets) SpendAbove(service string, reserve float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.tokens[service] < 1 {
+	if b.tokens[service] < 1+reserve*b.burst {
 		return false
 	}
 	b.tokens[service]--
