--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
 	"github.com/hornbeamway/hornbeamway/pkg/balance"
@@ -153,7 +154,7 @@
 func bodyProblem(err error) *problem.Problem {
 	status, reason := fasthttp.StatusBadRequest, problem.ReasonBadRequest
 	switch {
-	case err == ingress.ErrBodyTooLarge:
+	case errors.Is(err, ingress.ErrBodyTooLarge):
 		status, reason = fasthttp.StatusRequestEntityTooLarge, problem.ReasonBodyTooLarge
 	case ingress.IsTimeout(err):
 		status = fasthttp.StatusRequestTimeout
--- /dev/null
+++ b/pkg/loadshare/message_test.go
@@ -0,0 +1,63 @@
+package loadshare
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hornbeamway/hornbeamway/pkg/balance"
+	"github.com/hornbeamway/hornbeamway/pkg/directory"
+)
+
+func TestLoadshare(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "loadshare")
+}
+
+func example() message {
+	outcome := balance.Failed
+	return message{vm: "v", dataCentre: "d", region: "r", start: 5, sequence: 9, heartbeat: true,
+		counts: map[balance.Key]int{7: 2},
+		events: []Event{{Key: 7, Count: 2}, {Key: 8, Outcome: &outcome, Figure: &balance.Figure{Running: 1, Waiting: 2, Slowness: 1.5},
+			FigureAge: 30 * time.Millisecond}},
+		digest: directory.Digest{ConfigVersion: 3, ServersRevision: 4, ConfigNext: 5, ServersNext: 6, AgeMillis: 7},
+		known:  []string{"10.0.0.1:1"}}
+}
+
+var _ = Describe("message", func() {
+	// Guards against counts and digests that arrive as something else than what was sent.
+	It("is decoded as it was encoded", func() {
+		m := example()
+		decoded, err := decode(m.encode(nil))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(*decoded).To(Equal(m))
+	})
+
+	// Guards against VMs of another version that misread each other during a replacement.
+	It("refuses another version", func() {
+		m := example()
+		b := m.encode(nil)
+		b[0]++
+		_, err := decode(b)
+		Expect(err).To(MatchError(ErrMessage))
+	})
+})
+
+// FuzzDecode guards against datagrams that make the receiver fail or hold more memory than they are long.
+func FuzzDecode(f *testing.F) {
+	m := example()
+	f.Add(m.encode(nil))
+	m.heartbeat = false
+	f.Add(m.encode(nil))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		decoded, err := decode(data)
+		if err != nil {
+			return
+		}
+		if len(decoded.events)+len(decoded.counts)+len(decoded.known) > len(data) {
+			t.Fatalf("%d bytes decoded to %d items", len(data), len(decoded.events)+len(decoded.counts)+len(decoded.known))
+		}
+	})
+}
