Specs of store client, directory, gateway and loadshare; large answers stay streams

The spec of a large answer that is cut failed first: the size of the answer was taken from fasthttp's Body, which reads a stream into memory and replaces it by the text of its error, so that a cut answer of 3 MB reached the caller as a whole one of 14 bytes. The size of a stream is now its stated length. The spec of loadshare failed once under the race detector: a VM that was learnt of got its first heartbeat up to a second later. It now gets every heartbeat for a second. The stand-in of the log service speaks the calls of the platform's store.

--- a/internal/standin/logservice/service.go
+++ b/internal/standin/logservice/service.go
@@ -60,6 +60,7 @@
 type Service struct {
 	clock   clock.Clock
 	store   *store
+	topics  *topics
 	faults  *faultState
 	limiter *rate.Limiter
 	server  *httpserve.Server
@@ -78,6 +79,7 @@
 	}
 	s := &Service{
 		clock:  o.Clock,
+		topics: newTopics(),
 		store:  &store{streams: map[string]*stream{}, maxRecords: o.MaxRecords, maxAge: o.Retention},
 		faults: &faultState{random: rand.New(rand.NewPCG(o.Seed, 0)), changed: make(chan struct{})},
 	}
@@ -121,17 +123,23 @@
 	app := fiber.New(fiber.Config{Immutable: true, BodyLimit: maxRecordBytes})
 	app.Post("/streams/:stream/records", s.guard, s.append)
 	app.Get("/streams/:stream/records", s.guard, s.read)
+	s.topicRoutes(app)
 	app.Get("/streams", func(c fiber.Ctx) error { return c.JSON(map[string]any{"streams": s.Streams()}) })
 	app.Get("/faults", func(c fiber.Ctx) error { return c.JSON(s.Faults()) })
 	app.Post("/faults", s.switchFaults)
 	return app.Handler()
 }
 
-// guard applies the faults that come before a request is handled.
+// guard refuses names that are none of a stream, and applies the faults.
 func (s *Service) guard(c fiber.Ctx) error {
 	if !streamName.MatchString(c.Params("stream")) {
 		return fiber.NewError(fiber.StatusBadRequest, "invalid stream name")
 	}
+	return s.applyFaults(c)
+}
+
+// applyFaults applies the faults that come before a request is handled.
+func (s *Service) applyFaults(c fiber.Ctx) error {
 	f, changed := s.faults.get()
 	if f.Unreachable {
 		for f.Unreachable {
--- /dev/null
+++ b/pkg/directory/directory_test.go
@@ -0,0 +1,287 @@
+package directory
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hornbeamway/hornbeamway/pkg/clock"
+	"github.com/hornbeamway/hornbeamway/pkg/routing"
+)
+
+func TestDirectory(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "directory")
+}
+
+// plainCodec reads versions as numbers and servers as JSON.
+type plainCodec struct{}
+
+func (plainCodec) DecodeConfiguration(key string, value []byte) (*routing.Table, bool, error) {
+	version, err := strconv.ParseInt(string(value), 10, 64)
+	if err != nil {
+		return nil, false, err
+	}
+	table, err := routing.NewTable(version, nil, nil, routing.Limits{})
+	return table, key == "config", err
+}
+
+func (plainCodec) DecodeServer(id string, value []byte) (s Server, err error) {
+	err = json.Unmarshal(value, &s)
+	s.ID = id
+	return s, err
+}
+
+// fakeStore is a store in memory with an outage that can be switched.
+type fakeStore struct {
+	mu       sync.Mutex
+	down     bool
+	expired  int64
+	records  map[Topic][]Record
+	reads    int
+	newest   int
+	lastFrom map[Topic]int64
+}
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{records: map[Topic][]Record{}, lastFrom: map[Topic]int64{}}
+}
+
+func (f *fakeStore) put(topic Topic, key string, value []byte) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.records[topic] = append(f.records[topic], Record{Key: key, Value: value, Offset: int64(len(f.records[topic]))})
+}
+
+func (f *fakeStore) putServer(s Server) {
+	data, err := json.Marshal(s)
+	Expect(err).NotTo(HaveOccurred())
+	f.put(Servers, s.ID, data)
+}
+
+func (f *fakeStore) setDown(down bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.down = down
+}
+
+func (f *fakeStore) Newest(_ context.Context, topic Topic) (Batch, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.newest++
+	if f.down {
+		return Batch{}, ErrUnavailable
+	}
+	latest := map[string]Record{}
+	for _, r := range f.records[topic] {
+		latest[r.Key] = r
+	}
+	b := Batch{Next: int64(len(f.records[topic]))}
+	for _, r := range latest {
+		if len(r.Value) > 0 {
+			b.Records = append(b.Records, r)
+		}
+	}
+	return b, nil
+}
+
+func (f *fakeStore) Read(_ context.Context, topic Topic, from int64) (Batch, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.reads++
+	f.lastFrom[topic] = from
+	switch {
+	case f.down:
+		return Batch{}, ErrUnavailable
+	case from < f.expired:
+		return Batch{}, ErrExpired
+	}
+	return Batch{Records: append([]Record(nil), f.records[topic][from:]...), Next: int64(len(f.records[topic]))}, nil
+}
+
+func (f *fakeStore) Publish(_ context.Context, key string, value []byte) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return ErrUnavailable
+	}
+	f.records[VMs] = append(f.records[VMs], Record{Key: key, Value: value})
+	return nil
+}
+
+// fakePeers is the other VMs: a rank and snapshots by address.
+type fakePeers struct {
+	rank      int
+	seeds     []string
+	snapshots map[string]Snapshot
+}
+
+func (p *fakePeers) Rank() int       { return p.rank }
+func (p *fakePeers) Seeds() []string { return p.seeds }
+func (p *fakePeers) Snapshot(_ context.Context, address string) (Snapshot, error) {
+	snap, ok := p.snapshots[address]
+	if !ok {
+		return Snapshot{}, errors.New("no such VM")
+	}
+	return snap, nil
+}
+
+var _ = Describe("Follower", func() {
+	var (
+		now      *clock.Manual
+		store    *fakeStore
+		peers    *fakePeers
+		state    *State
+		follower *Follower
+	)
+	a, b := Server{ID: "a", Service: "s", Address: "1", Slots: 3, Incarnation: 1, Sequence: 1}, Server{ID: "b", Service: "s", Address: "2", Slots: 3, Incarnation: 1, Sequence: 1}
+	BeforeEach(func() {
+		now = clock.NewManual(time.Unix(1_800_000_000, 0))
+		store, peers = newFakeStore(), &fakePeers{}
+		state = NewState(now, plainCodec{}, func(*View) {})
+		follower = NewFollower(now, state, store, peers, func(Batch) {})
+		store.put(Configuration, "config", []byte("3"))
+		store.putServer(a)
+		store.putServer(b)
+	})
+	read := func() {
+		if follower.due() {
+			follower.read(context.Background(), "self", []byte("{}"))
+		}
+		state.tick()
+	}
+	used := func() []string {
+		var ids []string
+		for _, s := range state.View().ByService["s"] {
+			ids = append(ids, s.ID)
+		}
+		return ids
+	}
+	pass := func(d time.Duration) { now.Advance(d); read() }
+
+	It("knows configuration and servers after the first read, and follows changes within the interval", func() {
+		read()
+		Expect(state.Known()).To(BeTrue())
+		Expect(used()).To(Equal([]string{"a", "b"}))
+		store.put(Configuration, "config", []byte("5"))
+		leaving := b
+		leaving.Leaving, leaving.Sequence = true, 2
+		store.putServer(leaving)
+		pass(500 * time.Millisecond)
+		Expect(state.Table().Version).To(Equal(int64(3)))
+		pass(600 * time.Millisecond)
+		Expect(state.Table().Version).To(Equal(int64(5)))
+		Expect(used()).To(Equal([]string{"a"}))
+	})
+
+	// Guards against a configuration that comes back after a later one, from the store or from another VM.
+	It("never goes back to an earlier configuration", func() {
+		store.put(Configuration, "config", []byte("5"))
+		read()
+		store.put(Configuration, "config", []byte("4"))
+		pass(1100 * time.Millisecond)
+		Expect(state.Table().Version).To(Equal(int64(5)))
+		state.Adopt(Snapshot{Digest: Digest{ConfigVersion: 4}, ConfigKey: "config", ConfigRecord: []byte("4")}, "vm")
+		Expect(state.Table().Version).To(Equal(int64(5)))
+	})
+
+	// Guards against a heartbeat of an earlier start that arrives late and brings a server back to what it was.
+	It("ignores what a server said before", func() {
+		reborn := a
+		reborn.Incarnation, reborn.Sequence, reborn.Address = 9, 1, "7"
+		store.putServer(reborn)
+		read()
+		old := a
+		old.Sequence = 50
+		store.putServer(old)
+		store.put(Servers, "b", []byte("{"))
+		pass(1100 * time.Millisecond)
+		Expect(state.View().Servers["a"].Address).To(Equal("7"))
+		Expect(used()).To(Equal([]string{"a", "b"}), "an unreadable entry changes nothing")
+	})
+
+	// Guards against an outage of the store that takes the servers away whose entries lapsed meanwhile.
+	It("keeps servers whose entries lapsed in an outage until they are back, and drops those that are not", func() {
+		read()
+		store.setDown(true)
+		for range 8 {
+			pass(500 * time.Millisecond)
+		}
+		Expect(used()).To(Equal([]string{"a", "b"}), "an outage changes nothing")
+		store.put(Servers, "a", nil)
+		store.put(Servers, "b", nil)
+		store.setDown(false)
+		pass(time.Second)
+		Expect(used()).To(Equal([]string{"a", "b"}))
+		back := a
+		back.Sequence = 9
+		store.putServer(back)
+		pass(1100 * time.Millisecond)
+		Expect(used()).To(Equal([]string{"a", "b"}))
+		pass(1300 * time.Millisecond)
+		Expect(used()).To(Equal([]string{"a"}))
+	})
+
+	// Guards against requests to a server that left in calm times.
+	It("drops a server whose entry is removed while the store is well", func() {
+		read()
+		store.put(Servers, "b", nil)
+		pass(1100 * time.Millisecond)
+		Expect(used()).To(Equal([]string{"a"}))
+	})
+
+	// Guards against a reader that stays behind when the history is dropped.
+	It("reads everything again when records have expired", func() {
+		read()
+		store.put(Servers, "b", nil)
+		store.expired = 3
+		pass(1100 * time.Millisecond)
+		Expect(used()).To(Equal([]string{"a"}))
+	})
+
+	// Guards against all VMs reading the store: calls to it are paid for and their rate is limited.
+	It("reads only when the VMs before it have not", func() {
+		read()
+		reads := store.reads
+		peers.rank = 2
+		for range 20 {
+			pass(200 * time.Millisecond)
+			follower.Observe("reader", Digest{ConfigVersion: 3, ServersRevision: 2, ConfigNext: 1, ServersNext: 2, AgeMillis: 50})
+		}
+		Expect(store.reads).To(Equal(reads))
+		for range 7 {
+			pass(200 * time.Millisecond)
+		}
+		Expect(store.reads).To(BeNumerically(">", reads), "the reader is silent")
+	})
+
+	// Guards against a VM that cannot reach the store at its start and serves nothing although others know everything.
+	It("takes over what another VM knows when the store does not answer", func() {
+		other := NewState(now, plainCodec{}, func(*View) {})
+		source := NewFollower(now, other, store, &fakePeers{}, func(Batch) {})
+		source.read(context.Background(), "other", nil)
+		store.setDown(true)
+		peers.seeds, peers.snapshots = []string{"dead", "vm"}, map[string]Snapshot{"vm": other.Snapshot()}
+		read()
+		Expect(state.Known()).To(BeTrue())
+		Expect(state.Table().Version).To(Equal(int64(3)))
+		Expect(used()).To(Equal([]string{"a", "b"}))
+	})
+
+	// Guards against a VM that asks for the same snapshot with each heartbeat.
+	It("asks only VMs that know something later", func() {
+		read()
+		follower.Observe("same", state.Digest())
+		follower.Observe("behind", Digest{ConfigVersion: 2})
+		Expect(follower.later).To(BeEmpty())
+		follower.Observe("ahead", Digest{ConfigVersion: 4})
+		Expect(follower.later).To(HaveLen(1))
+	})
+})
--- a/pkg/directory/follower.go
+++ b/pkg/directory/follower.go
@@ -242,6 +242,6 @@
 		return false
 	}
 	handOns.Inc()
-	f.state.adopt(snap, address)
+	f.state.Adopt(snap, address)
 	return snap.ConfigVersion > 0
 }
--- a/pkg/directory/state.go
+++ b/pkg/directory/state.go
@@ -259,8 +259,8 @@
 	klog.InfoS("store is back", "away", now.Sub(s.confirmed))
 }
 
-// adopt takes over what another VM knows, where that is later. Error: an unreadable configuration.
-func (s *State) adopt(snap Snapshot, from string) {
+// Adopt takes over what another VM knows, where that is later.
+func (s *State) Adopt(snap Snapshot, from string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock.Now()
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -86,7 +86,7 @@
 		cancel()
 	}
 	if r.delivered {
-		g.work.learn(a.route, now.Sub(started), a.choice.Slowness, len(a.resp.Body()))
+		g.work.learn(a.route, now.Sub(started), a.choice.Slowness, a.answerSize())
 	}
 	event := loadshare.Event{Key: key, Outcome: &r.outcome, Figure: answer.Figure}
 	if answer.Figure != nil {
@@ -97,6 +97,14 @@
 	return r
 }
 
+// answerSize is the number of bytes of the answer. A stream must not be read for it.
+func (a *attempt) answerSize() int {
+	if a.resp.IsBodyStream() {
+		return max(0, a.resp.Header.ContentLength())
+	}
+	return len(a.resp.Body())
+}
+
 // context ends when the caller leaves or another attempt has answered. A request that may run only once is not broken off,
 // because its outcome would stay unknown. keep lets the attempt outlast losers.
 func (a *attempt) context(ctx, losers context.Context) (both context.Context, keep, cancel func()) {
--- /dev/null
+++ b/pkg/gateway/fixture_test.go
@@ -0,0 +1,252 @@
+package gateway_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/valyala/fasthttp"
+
+	"github.com/hornbeamway/hornbeamway/pkg/balance"
+	"github.com/hornbeamway/hornbeamway/pkg/clock"
+	"github.com/hornbeamway/hornbeamway/pkg/directory"
+	"github.com/hornbeamway/hornbeamway/pkg/gateway"
+	"github.com/hornbeamway/hornbeamway/pkg/loadshare"
+	"github.com/hornbeamway/hornbeamway/pkg/retrybudget"
+	"github.com/hornbeamway/hornbeamway/pkg/routing"
+	"github.com/hornbeamway/hornbeamway/pkg/upstream"
+)
+
+func TestGateway(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "gateway")
+}
+
+// plainDialect uses short header names.
+type plainDialect struct{}
+
+func (plainDialect) Caller(h *fasthttp.RequestHeader) gateway.CallerHead {
+	wait, _ := strconv.Atoi(string(h.Peek("Wait")))
+	return gateway.CallerHead{ID: string(h.Peek("Id")), Wait: time.Duration(wait) * time.Millisecond}
+}
+
+func (plainDialect) SetAttempt(h *fasthttp.RequestHeader, left time.Duration, serverID string) {
+	h.Set("Wait", strconv.FormatInt(left.Milliseconds(), 10))
+	h.Set("Expect-Server", serverID)
+}
+
+func (plainDialect) Answer(h *fasthttp.ResponseHeader) gateway.Answer {
+	a := gateway.Answer{RequestID: string(h.Peek("Id")), Signed: len(h.Peek("Proof")) > 0, NotRun: len(h.Peek("Not-Run")) > 0,
+		Misdirected: h.StatusCode() == fasthttp.StatusMisdirectedRequest}
+	if slowness, err := strconv.ParseFloat(string(h.Peek("Slowness")), 64); err == nil {
+		a.Figure = &balance.Figure{Slowness: slowness}
+	}
+	return a
+}
+
+func (plainDialect) CleanAnswer(*fasthttp.ResponseHeader) {}
+
+func (plainDialect) SetRequestID(h *fasthttp.ResponseHeader, id string) { h.Set("Id", id) }
+
+// fixedCodec returns one table.
+type fixedCodec struct{ table *routing.Table }
+
+func (c fixedCodec) DecodeConfiguration(string, []byte) (*routing.Table, bool, error) {
+	return c.table, true, nil
+}
+func (fixedCodec) DecodeServer(string, []byte) (directory.Server, error) {
+	return directory.Server{}, nil
+}
+
+// received is a request that reached a backend server.
+type received struct {
+	*http.Request
+	body []byte
+	// gone is closed when the gateway closes the connection.
+	gone chan struct{}
+}
+
+// backend is a scripted backend server. answer writes what it likes on the connection and returns false to close it.
+type backend struct {
+	address string
+	mu      sync.Mutex
+	seen    []*received
+}
+
+func startBackend(answer func(r *received, c net.Conn) bool) *backend {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(l.Close)
+	b := &backend{address: l.Addr().String()}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go b.serve(c, answer)
+		}
+	}()
+	return b
+}
+
+func (b *backend) serve(c net.Conn, answer func(*received, net.Conn) bool) {
+	defer c.Close()
+	reader := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(req.Body)
+		if err != nil {
+			return
+		}
+		r := &received{Request: req, body: body, gone: make(chan struct{})}
+		b.mu.Lock()
+		b.seen = append(b.seen, r)
+		b.mu.Unlock()
+		ended := make(chan struct{})
+		go func() {
+			// The gateway sends nothing before the answer, so that the end of the connection is all that can arrive.
+			_, err := reader.Peek(1)
+			if err != nil {
+				close(r.gone)
+			}
+			close(ended)
+		}()
+		if !answer(r, c) {
+			return
+		}
+		<-ended
+	}
+}
+
+func (b *backend) count() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.seen)
+}
+
+func (b *backend) last() *received {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.seen[len(b.seen)-1]
+}
+
+// write answers with a status, headers and a body of known length.
+func write(c net.Conn, r *received, status int, body string, headers ...string) bool {
+	text := fmt.Sprintf("HTTP/1.1 %d X\r\nContent-Length: %d\r\nId: %s\r\n", status, len(body), r.Header.Get("Id"))
+	_, err := io.WriteString(c, text+strings.Join(append(headers, "", ""), "\r\n")+body)
+	return err == nil
+}
+
+// good answers as a backend server should.
+func good(r *received, c net.Conn) bool {
+	return write(c, r, 200, "answer to "+r.Header.Get("Id"), "Proof: p")
+}
+
+type fixture struct {
+	*gateway.Gateway
+	state   *directory.State
+	address string
+	retries *retrybudget.Budgets
+}
+
+const (
+	routeTimeout = 600 * time.Millisecond
+	objective    = 200 * time.Millisecond
+)
+
+func table(version int64) *routing.Table {
+	share := []routing.Share{{Service: "s", Weight: 1}}
+	t, err := routing.NewTable(version, []routing.Route{
+		{Name: "safe", Host: "h", Prefix: "/safe/", Shares: share, Idempotent: true, Timeout: routeTimeout, Objective: objective, MaxAttempts: 2},
+		{Name: "once", Host: "h", Prefix: "/once/", Shares: share, Timeout: routeTimeout, Objective: objective, MaxAttempts: 2},
+	}, []routing.Service{{Name: "s"}}, routing.Limits{BodyBytes: 8 << 20})
+	Expect(err).NotTo(HaveOccurred())
+	return t
+}
+
+// start serves the backends in the order in which they are to be chosen.
+func start(backends ...*backend) *fixture {
+	b := balance.New(balance.Place{DataCentre: "d", Region: "r"}, 1)
+	f := &fixture{retries: retrybudget.New(0.2, 4)}
+	f.state = directory.NewState(clock.System{}, fixedCodec{table(1)}, b.SetServers)
+	snap := directory.Snapshot{Digest: directory.Digest{ConfigVersion: 1, ServersRevision: 1}, ConfigKey: "config"}
+	for i, target := range backends {
+		// Slots make the earlier ones cheaper: the first is idle, the others crowded.
+		snap.Servers = append(snap.Servers, directory.Server{ID: fmt.Sprint("s", i), Service: "s", Address: target.address,
+			DataCentre: []string{"d", "e"}[min(i, 1)], Region: "r", Slots: 3 - min(i, 2)})
+	}
+	f.state.Adopt(snap, "test")
+	f.Gateway = gateway.New(gateway.Options{Clock: clock.System{}, Dialect: plainDialect{}, State: f.state, Balancer: b,
+		Splitter: routing.NewSplitter(0), Servers: upstream.NewTransport(upstream.Options{}), Retries: f.retries,
+		Tell: func(loadshare.Event) {}})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	f.address = l.Addr().String()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- f.Serve(ctx, l) }()
+	DeferCleanup(func() {
+		cancel()
+		Expect(<-done).To(Succeed())
+	})
+	return f
+}
+
+// client is one caller connection.
+type client struct {
+	net.Conn
+	reader *bufio.Reader
+}
+
+func (f *fixture) dial() *client {
+	c, err := net.Dial("tcp", f.address)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(func() { _ = c.Close() })
+	Expect(c.SetDeadline(time.Now().Add(10 * time.Second))).To(Succeed())
+	return &client{Conn: c, reader: bufio.NewReader(c)}
+}
+
+func (c *client) send(method, path, id string, body []byte) {
+	_, err := fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: h\r\nId: %s\r\nWait: 2000\r\nContent-Length: %d\r\n\r\n%s", method, path, id, len(body), body)
+	Expect(err).NotTo(HaveOccurred())
+}
+
+type answer struct {
+	*http.Response
+	body string
+	err  error
+}
+
+func (c *client) receive() answer {
+	resp, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		return answer{err: err}
+	}
+	var body bytes.Buffer
+	_, err = body.ReadFrom(resp.Body)
+	return answer{Response: resp, body: body.String(), err: err}
+}
+
+// ask sends one request on a connection of its own.
+func (f *fixture) ask(method, path, id string) answer {
+	c := f.dial()
+	c.send(method, path, id, nil)
+	a := c.receive()
+	Expect(a.err).NotTo(HaveOccurred())
+	return a
+}
--- a/pkg/loadshare/peers.go
+++ b/pkg/loadshare/peers.go
@@ -18,6 +18,8 @@
 	// another region, which needs to know of this one only.
 	silentRounds = 5
 	farRounds    = 25
+	// greetTime is how long a VM that was learnt of gets every heartbeat.
+	greetTime = time.Second
 	// sampleSize is the number of addresses of other VMs in a heartbeat.
 	sampleSize = 6
 	// maxPeers bounds the VMs that are remembered.
@@ -108,10 +110,12 @@
 	return targets
 }
 
-func (s *Sharer) heartbeatTargets(round int) []netip.AddrPort {
+func (s *Sharer) heartbeatTargets(round int, now time.Time) []netip.AddrPort {
 	var targets []netip.AddrPort
 	for address, p := range s.peers {
 		switch {
+		case now.Sub(p.added) < greetTime:
+			targets = append(targets, address)
 		case !p.live && round%silentRounds != 0:
 		case p.live && p.region != s.Region && round%farRounds != 0:
 		default:
--- a/pkg/loadshare/sharer.go
+++ b/pkg/loadshare/sharer.go
@@ -134,8 +134,9 @@
 		m := s.message()
 		m.heartbeat, m.counts, m.digest = true, s.Balancer.Own(), s.Digest()
 		s.mu.Lock()
-		gone := s.expire(s.Clock.Now())
-		targets := s.heartbeatTargets(round)
+		now := s.Clock.Now()
+		gone := s.expire(now)
+		targets := s.heartbeatTargets(round, now)
 		m.known = s.sample(round)
 		s.mu.Unlock()
 		for _, p := range gone {
