Share counts within data centres in large regions; fewer calls to the store; prefer open connections

Each VM made four calls to the store at its start (576 of 1,262 calls). Change: from 20 other VMs in a region on, counts are shared within the data centre; seeds read the store first and the others take over; three VMs of a region are listed in the store; a server without an open connection costs 0.06 of the objective more.

--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -50,6 +50,8 @@
 	Bytes float64
 	// Exclude are servers that this request was sent to before.
 	Exclude []Key
+	// Connected reports whether an open connection to a server can be used; nil: not known.
+	Connected func(address string) bool
 }
 
 // Choice is a chosen server.
@@ -88,7 +90,11 @@
 type Balancer struct {
 	self Place
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// others are the requests in flight of the other VMs, by VM.
+	others map[string]map[Key]int
+	// narrow says that VMs share their counts in a data centre only, not in the whole region.
+	narrow   bool
 	services map[string]*service
 	servers  map[Key]*server
 	random   *rand.Rand
@@ -107,10 +113,8 @@
 type server struct {
 	info *directory.Server
 	key  Key
-	// own and others are the requests in flight of this VM and of the other VMs.
-	own    int
-	others map[string]int
-	total  int
+	// own are the requests in flight of this VM, total those of all VMs that share their counts.
+	own, total int
 	// figure is the last one told, at figureAt.
 	figure   Figure
 	figureAt time.Time
@@ -125,7 +129,7 @@
 
 // New returns a balancer of a VM.
 func New(self Place, seed uint64) *Balancer {
-	return &Balancer{self: self, services: map[string]*service{}, servers: map[Key]*server{},
+	return &Balancer{self: self, services: map[string]*service{}, servers: map[Key]*server{}, others: map[string]map[Key]int{},
 		random: rand.New(rand.NewPCG(seed, seed))}
 }
 
@@ -144,7 +148,7 @@
 			key := KeyOf(info)
 			s, ok := old[key]
 			if !ok {
-				s = &server{key: key, others: map[string]int{}}
+				s = &server{key: key, total: b.othersAt(key)}
 			}
 			s.info = info
 			svc.servers = append(svc.servers, s)
@@ -248,33 +252,74 @@
 	}
 }
 
+// othersAt adds up the requests of the other VMs at a server.
+func (b *Balancer) othersAt(key Key) int {
+	total := 0
+	for _, counts := range b.others {
+		total += counts[key]
+	}
+	return total
+}
+
+// Narrow says whether VMs share their counts in a data centre only. What servers elsewhere have in flight is then known from
+// their figures alone.
+func (b *Balancer) Narrow(narrow bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.narrow = narrow
+}
+
+// counted reports whether the VMs that use a server share their counts with this one.
+func (b *Balancer) counted(s *server) bool {
+	if b.narrow {
+		return s.info.DataCentre == b.self.DataCentre
+	}
+	return s.info.Region == b.self.Region
+}
+
 // SetOthers sets the number of requests that another VM has in flight at a server.
 func (b *Balancer) SetOthers(vm string, key Key, count int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if s, ok := b.servers[key]; ok {
-		s.setOthers(vm, count)
+	counts := b.others[vm]
+	if counts == nil {
+		counts = map[Key]int{}
+		b.others[vm] = counts
 	}
+	b.setOthers(counts, key, count)
 }
 
 // ReplaceOthers sets all requests that another VM has in flight. A nil map forgets the VM.
 func (b *Balancer) ReplaceOthers(vm string, counts map[Key]int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for key, s := range b.servers {
-		if s.others[vm] != counts[key] {
-			s.setOthers(vm, counts[key])
+	known := b.others[vm]
+	if known == nil {
+		known = map[Key]int{}
+		b.others[vm] = known
+	}
+	for key := range known {
+		if _, still := counts[key]; !still {
+			b.setOthers(known, key, 0)
 		}
 	}
+	for key, count := range counts {
+		b.setOthers(known, key, count)
+	}
+	if counts == nil {
+		delete(b.others, vm)
+	}
 }
 
-func (s *server) setOthers(vm string, count int) {
-	s.total += count - s.others[vm]
+func (b *Balancer) setOthers(counts map[Key]int, key Key, count int) {
+	if s, ok := b.servers[key]; ok {
+		s.total += count - counts[key]
+	}
 	if count == 0 {
-		delete(s.others, vm)
+		delete(counts, key)
 		return
 	}
-	s.others[vm] = count
+	counts[key] = count
 }
 
 // Own returns the requests that this VM has in flight, by server.
--- a/pkg/balance/cost.go
+++ b/pkg/balance/cost.go
@@ -27,6 +27,11 @@
 	// crossDataCentreCost and crossRegionCost weigh paid bytes against latency, in ms for each kB.
 	crossDataCentreCost = 2.0
 	crossRegionCost     = 14.0
+	// connectCost is the cost of a new connection, in objectives.
+	connectCost = 0.06
+	// toldLife is the age up to which a server's own count of its requests holds, and guessedBusy stands for an older one.
+	toldLife    = time.Second
+	guessedBusy = 2
 	// failureCost is the cost of a server that always fails, in objectives.
 	failureCost = 4.0
 	// failureWeight is the weight of one outcome in the share of failures, and failureLife the time in which it fades.
@@ -54,6 +59,9 @@
 	case s.info.DataCentre != b.self.DataCentre:
 		cost += kB * crossDataCentreCost
 	}
+	if r.Connected != nil && !r.Connected(s.info.Address) {
+		cost += connectCost * ms(r.Objective)
+	}
 	if now.Before(s.fullUntil) {
 		cost += ms(r.Objective)
 	}
@@ -70,9 +78,8 @@
 		work *= warmUpFactor
 	}
 	busy := s.total
-	if s.info.Region != b.self.Region && !s.figureAt.IsZero() {
-		// Requests of the other region are known from the server's own figures only.
-		busy = max(busy, s.figure.Running+s.figure.Waiting)
+	if !b.counted(s) {
+		busy = max(busy, s.toldBusy(now))
 	}
 	slots := max(1, s.info.Slots)
 	if float64(busy+1) > crowdedShare*float64(slots) {
@@ -91,6 +98,14 @@
 	return time
 }
 
+// toldBusy is the number of requests that a server has told of lately, or a guess.
+func (s *server) toldBusy(now time.Time) int {
+	if s.figureAt.IsZero() || now.Sub(s.figureAt) > toldLife {
+		return guessedBusy
+	}
+	return s.figure.Running + s.figure.Waiting
+}
+
 // slowness is the factor expected now: the last figure, which fades into the mean of the service.
 func (s *server) slowness(svc *service, now time.Time) float64 {
 	if s.figureAt.IsZero() {
--- a/pkg/directory/follower.go
+++ b/pkg/directory/follower.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -25,6 +27,13 @@
 	// retryDelay and retryMax bound the wait after a failed read; it doubles with each failure.
 	retryDelay = 200 * time.Millisecond
 	retryMax   = time.Second
+	// seedWait is how long a VM that has seeds waits at its start for what they know, before it reads the store itself.
+	seedWait = 700 * time.Millisecond
+	// announcedVMs is the number of VMs of a region that are listed in the store, announceAfter the time after the start at
+	// which the order of the VMs is known, and askVMsInterval how often a VM that hears no other asks for them.
+	announcedVMs   = 3
+	announceAfter  = 1500 * time.Millisecond
+	askVMsInterval = 5 * time.Second
 	// checkInterval is how often the age is looked at.
 	checkInterval = 20 * time.Millisecond
 	// handOnTimeout bounds the transfer of a snapshot between two VMs.
@@ -43,6 +52,8 @@
 	Rank() int
 	// Snapshot asks another VM for all that it knows.
 	Snapshot(ctx context.Context, address string) (Snapshot, error)
+	// Alone reports whether no other VM of the region is heard.
+	Alone() bool
 	// Seeds returns the addresses of VMs that may know something, for a VM that cannot reach the store.
 	Seeds() []string
 }
@@ -58,9 +69,16 @@
 	// joined is called once with the records of VMs after the first contact with the store.
 	joined func(Batch)
 
+	// self is the address of this VM, started the time of its start.
+	self    string
+	started time.Time
+	// lastRead is the last time at which the store answered this VM.
+	lastRead  atomic.Int64
 	failures  int
 	nextTry   time.Time
 	announced bool
+	// askedVMs is when the store was last asked for the VMs.
+	askedVMs time.Time
 }
 
 // laterVMs is the number of VMs with later knowledge that wait to be asked. One answer serves for all of them.
@@ -84,11 +102,13 @@
 
 // Run follows the store until ctx ends. self is this VM's record of VMs.
 func (f *Follower) Run(ctx context.Context, key string, self []byte) {
+	f.self, f.started = key, f.clock.Now()
 	go f.takeOver(ctx)
 	for ctx.Err() == nil {
 		if f.due() {
-			f.read(ctx, key, self)
+			f.read(ctx)
 		}
+		f.announce(ctx, self)
 		f.state.tick()
 		select {
 		case <-ctx.Done():
@@ -104,7 +124,7 @@
 	}
 	age, ok := f.state.Age()
 	if !ok {
-		return true
+		return f.seeded() || f.clock.Now().Sub(f.started) >= seedWait
 	}
 	if age < readInterval {
 		return false
@@ -116,8 +136,20 @@
 	return age >= limit
 }
 
+// seeded reports whether the others wait for this VM to read the store first, or there are no others.
+func (f *Follower) seeded() bool {
+	seeds := f.peers.Seeds()
+	return len(seeds) == 0 || slices.Contains(seeds, f.self)
+}
+
+// Reads reports whether this VM has read the store lately.
+func (f *Follower) Reads() bool {
+	at := f.lastRead.Load()
+	return at != 0 && f.clock.Now().UnixNano()-at < int64(2*readInterval)
+}
+
 // read brings the state up to date from the store.
-func (f *Follower) read(ctx context.Context, key string, self []byte) {
+func (f *Follower) read(ctx context.Context) {
 	started := f.clock.Now()
 	callCtx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
@@ -128,7 +160,7 @@
 			klog.InfoS("store reachable again", "failures", f.failures)
 		}
 		f.failures, f.nextTry = 0, time.Time{}
-		f.announce(ctx, key, self)
+		f.lastRead.Store(f.clock.Now().UnixNano())
 		return
 	}
 	storeFailures.Inc()
@@ -180,24 +212,33 @@
 	return b, true, err
 }
 
-// announce adds this VM to the store and learns of the others, once.
-func (f *Follower) announce(ctx context.Context, key string, self []byte) {
-	if f.announced {
+// announce adds this VM to the store if it is one of those through which VMs without a live seed find the others, and asks
+// the store for the others if none is heard.
+func (f *Follower) announce(ctx context.Context, self []byte) {
+	now := f.clock.Now()
+	if !f.state.Known() || now.Sub(f.started) < announceAfter || now.Before(f.nextTry) {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, 2*readTimeout)
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	if err := f.store.Publish(ctx, key, self); err != nil {
-		klog.InfoS("VM not added to the store", "err", err)
-		return
+	if !f.announced && f.peers.Rank() < announcedVMs {
+		if err := f.store.Publish(ctx, f.self, self); err != nil {
+			klog.InfoS("VM not added to the store", "err", err)
+			f.nextTry = now.Add(retryMax)
+			return
+		}
+		klog.InfoS("VM added to the store", "address", f.self)
+		f.announced = true
 	}
-	found, err := f.store.Newest(ctx, VMs)
-	if err != nil {
-		klog.InfoS("VMs not read from the store", "err", err)
-		return
+	if f.peers.Alone() && now.Sub(f.askedVMs) >= askVMsInterval {
+		f.askedVMs = now
+		found, err := f.store.Newest(ctx, VMs)
+		if err != nil {
+			klog.InfoS("VMs not read from the store", "err", err)
+			return
+		}
+		f.joined(found)
 	}
-	f.announced = true
-	f.joined(found)
 }
 
 // askSeeds takes over what other VMs know, for a VM that cannot reach the store.
--- a/pkg/entryvm/life.go
+++ b/pkg/entryvm/life.go
@@ -40,7 +40,7 @@
 	// serverIdleTimeout is shorter than the time after which backend servers close idle connections.
 	serverIdleTimeout = 8 * time.Second
 	// serverFreshTimeout is the age up to which a connection carries a request that must not be repeated.
-	serverFreshTimeout = 4 * time.Second
+	serverFreshTimeout = 7 * time.Second
 	// serverUserTimeout ends connections that have gone silent.
 	serverUserTimeout = 900 * time.Millisecond
 	storeDialTimeout  = 300 * time.Millisecond
--- a/pkg/entryvm/vm.go
+++ b/pkg/entryvm/vm.go
@@ -110,6 +110,7 @@
 	do.Provide(i, func(i do.Injector) (*loadshare.Sharer, error) {
 		return loadshare.New(loadshare.Options{Clock: system, VM: s.VM, DataCentre: s.DataCentre, Region: s.Region, Conn: l.datagrams,
 			Balancer: do.MustInvoke[*balance.Balancer](i), Digest: do.MustInvoke[*directory.State](i).Digest,
+			Reads:   func() bool { return v.follower.Reads() },
 			Observe: func(address string, d directory.Digest) { v.follower.Observe(address, d) }}), nil
 	})
 	do.Provide(i, func(i do.Injector) (*directory.Follower, error) {
@@ -154,6 +155,9 @@
 	return s.Region == v.settings.Region && v.sharer.Assigned("probe "+s.ID, s.DataCentre)
 }
 
+// Alone implements directory.Peers.
+func (v *vm) Alone() bool { return len(v.sharer.LiveInRegion()) == 0 }
+
 // Seeds implements directory.Peers.
 func (v *vm) Seeds() []string {
 	if live := v.sharer.LiveInRegion(); len(live) > 0 {
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -105,6 +105,7 @@
 	choice, ok := g.Balancer.Pick(balance.Request{
 		Service: c.service, Work: g.work.work(c.route), Objective: c.route.Objective,
 		Bytes: c.size() + g.work.answerBytes(c.route), Exclude: c.sent,
+		Connected: func(address string) bool { return g.Servers.HasIdle(address, c.route.Idempotent) },
 	}, now)
 	if !ok {
 		return choice, notRun(problem.ReasonNoServer, "no backend server of "+c.service, min(noServerRetry, left/4))
--- a/pkg/loadshare/peers.go
+++ b/pkg/loadshare/peers.go
@@ -18,10 +18,17 @@
 	// another region, which needs to know of this one only.
 	silentRounds = 5
 	farRounds    = 25
+	// largeRegion is the number of other VMs in a region from which they share counts within their data centres only.
+	largeRegion = 20
+	// nearRounds are the heartbeats between two that go to a VM of the region outside the group, unless this VM reads the
+	// store and the others need to hear of it.
+	nearRounds = 5
 	// greetTime is how long a VM that was learnt of gets every heartbeat.
 	greetTime = time.Second
-	// sampleSize is the number of addresses of other VMs in a heartbeat.
-	sampleSize = 6
+	// sampleSize is the number of addresses of other VMs in a heartbeat, firstSample that within firstTime of the start.
+	sampleSize  = 4
+	firstSample = 40
+	firstTime   = 10 * time.Second
 	// maxPeers bounds the VMs that are remembered.
 	maxPeers = 4096
 )
@@ -86,8 +93,11 @@
 	var silent []peer
 	for address, p := range s.peers {
 		limit := silentAfter
-		if p.region != s.Region {
+		switch {
+		case p.region != s.Region:
 			limit = farRounds * heartbeatInterval * 3
+		case !s.inGroup(p.dataCentre):
+			limit = nearRounds * heartbeatInterval * 3
 		}
 		if p.live && now.Sub(p.heard) > limit {
 			p.live = false
@@ -100,6 +110,30 @@
 	return silent
 }
 
+// regroup works out the VMs that get every event: those of the region, or those of the data centre in a large region, where
+// the datagrams would otherwise grow with the square of the VMs. It reports whether the group is the data centre.
+func (s *Sharer) regroup() (narrow bool) {
+	region := s.liveInRegion()
+	narrow = len(region) >= largeRegion
+	if narrow {
+		var near []netip.AddrPort
+		for _, address := range region {
+			if s.peers[address].dataCentre == s.DataCentre {
+				near = append(near, address)
+			}
+		}
+		region = near
+	}
+	s.narrow.Store(narrow)
+	s.group.Store(&region)
+	return narrow
+}
+
+// inGroup reports whether a VM of the region and a data centre shares its counts with this one.
+func (s *Sharer) inGroup(dataCentre string) bool {
+	return !s.narrow.Load() || dataCentre == s.DataCentre
+}
+
 func (s *Sharer) liveInRegion() []netip.AddrPort {
 	var targets []netip.AddrPort
 	for address, p := range s.peers {
@@ -110,7 +144,7 @@
 	return targets
 }
 
-func (s *Sharer) heartbeatTargets(round int, now time.Time) []netip.AddrPort {
+func (s *Sharer) heartbeatTargets(round int, now time.Time, reads bool) []netip.AddrPort {
 	var targets []netip.AddrPort
 	for address, p := range s.peers {
 		switch {
@@ -118,6 +152,7 @@
 			targets = append(targets, address)
 		case !p.live && round%silentRounds != 0:
 		case p.live && p.region != s.Region && round%farRounds != 0:
+		case p.live && p.region == s.Region && !s.inGroup(p.dataCentre) && round%nearRounds != 0 && !reads:
 		default:
 			targets = append(targets, address)
 		}
@@ -131,8 +166,12 @@
 	if round%silentRounds != 0 {
 		return nil
 	}
+	size := sampleSize
+	if time.Duration(round)*heartbeatInterval < firstTime {
+		size = firstSample
+	}
 	for address, p := range s.peers {
-		if len(known) == sampleSize {
+		if len(known) == size {
 			break
 		}
 		if p.live {
--- a/pkg/loadshare/sharer.go
+++ b/pkg/loadshare/sharer.go
@@ -47,6 +47,8 @@
 	Balancer *balance.Balancer
 	// Digest returns what this VM knows of configuration and servers.
 	Digest func() directory.Digest
+	// Reads reports whether this VM has just read the store, so that the others must hear of it soon.
+	Reads func() bool
 	// Observe takes the digest of the VM at an address.
 	Observe func(address string, d directory.Digest)
 }
@@ -58,6 +60,10 @@
 	start    int64
 	sequence atomic.Uint64
 	events   chan Event
+	// group are the VMs that get every event.
+	group atomic.Pointer[[]netip.AddrPort]
+	// narrow says that the group is the data centre, not the region.
+	narrow atomic.Bool
 
 	mu    sync.Mutex
 	peers map[netip.AddrPort]*peer
@@ -66,8 +72,10 @@
 // New returns a sharer that knows no other VM.
 func New(o Options) *Sharer {
 	self := o.Conn.LocalAddr().(*net.UDPAddr).AddrPort()
-	return &Sharer{Options: o, self: netip.AddrPortFrom(self.Addr().Unmap(), self.Port()), start: time.Now().UnixMilli(),
+	s := &Sharer{Options: o, self: netip.AddrPortFrom(self.Addr().Unmap(), self.Port()), start: time.Now().UnixMilli(),
 		events: make(chan Event, eventRing), peers: map[netip.AddrPort]*peer{}}
+	s.group.Store(&[]netip.AddrPort{})
+	return s
 }
 
 // Tell sends an event to the VMs of the region. It never blocks.
@@ -107,10 +115,7 @@
 			m.events = append(m.events, first)
 			m.events = s.drainEvents(m.events)
 			buffer = m.encode(buffer[:0])
-			s.mu.Lock()
-			targets := s.liveInRegion()
-			s.mu.Unlock()
-			s.send(buffer, targets)
+			s.send(buffer, *s.group.Load())
 		}
 	}
 }
@@ -136,13 +141,15 @@
 		s.mu.Lock()
 		now := s.Clock.Now()
 		gone := s.expire(now)
-		targets := s.heartbeatTargets(round, now)
+		targets := s.heartbeatTargets(round, now, s.Reads())
+		narrow := s.regroup()
 		m.known = s.sample(round)
 		s.mu.Unlock()
 		for _, p := range gone {
 			klog.InfoS("VM silent", "vm", p.name, "address", p.address, "silence", s.Clock.Now().Sub(p.heard))
 			s.Balancer.ReplaceOthers(p.address.String(), nil)
 		}
+		s.Balancer.Narrow(narrow)
 		buffer = m.encode(buffer[:0])
 		s.send(buffer, targets)
 		select {
@@ -196,14 +203,14 @@
 	s.mu.Lock()
 	current := s.note(m, from, now)
 	s.mu.Unlock()
-	if m.region == s.Region {
+	if m.region == s.Region && s.inGroup(m.dataCentre) {
 		s.takeEvents(m, from.String(), current, now)
 	}
 	if !m.heartbeat {
 		return
 	}
 	if m.region == s.Region {
-		if current {
+		if current && s.inGroup(m.dataCentre) {
 			s.Balancer.ReplaceOthers(from.String(), m.counts)
 		}
 		s.Observe(from.String(), m.digest)
--- a/pkg/loadshare/sharer_test.go
+++ b/pkg/loadshare/sharer_test.go
@@ -30,6 +30,7 @@
 	n.balancer.SetServers(&directory.View{ByService: map[string][]*directory.Server{"s": {shared}}})
 	n.Sharer = loadshare.New(loadshare.Options{Clock: clock.System{}, VM: name, DataCentre: "d", Region: region, Conn: conn,
 		Balancer: n.balancer, Digest: func() directory.Digest { return directory.Digest{ConfigVersion: 4} },
+		Reads: func() bool { return false },
 		Observe: func(_ string, d directory.Digest) {
 			select {
 			case n.digests <- d:
--- a/pkg/prober/prober.go
+++ b/pkg/prober/prober.go
@@ -23,6 +23,8 @@
 	staleAfter = 80 * time.Millisecond
 	// checkInterval is how often the ages are looked at.
 	checkInterval = 20 * time.Millisecond
+	// assignInterval is how often the servers are divided between the VMs again.
+	assignInterval = 500 * time.Millisecond
 	// probeTimeout bounds one probe.
 	probeTimeout = 250 * time.Millisecond
 	// failurePause is the time for which a server that did not answer a probe is not asked.
@@ -60,6 +62,10 @@
 	Options
 	slots chan struct{}
 
+	// mine are the servers that this VM asks, worked out at mineAt.
+	mine   []*directory.Server
+	mineAt time.Time
+
 	mu sync.Mutex
 	// notBefore holds the servers that are being asked or that failed to answer.
 	notBefore map[balance.Key]time.Time
@@ -88,14 +94,24 @@
 	}
 	now := p.Clock.Now()
 	p.forget(now)
-	for name, servers := range p.State.View().ByService {
-		service, ok := table.Services[name]
-		if !ok || service.HealthPath == "" || !p.Balancer.Urgent(name, now) {
-			continue
+	if now.Sub(p.mineAt) >= assignInterval {
+		p.assign(now)
+	}
+	for _, s := range p.mine {
+		service, ok := table.Services[s.Service]
+		if ok && service.HealthPath != "" && p.Balancer.Urgent(s.Service, now) && p.due(s, now) {
+			p.start(ctx, s, service.HealthPath)
 		}
+	}
+}
+
+// assign works out the servers that this VM asks.
+func (p *Prober) assign(now time.Time) {
+	p.mine, p.mineAt = p.mine[:0], now
+	for _, servers := range p.State.View().ByService {
 		for _, s := range servers {
-			if p.due(s, now) && p.Assigned(s) {
-				p.start(ctx, s, service.HealthPath)
+			if p.Assigned(s) {
+				p.mine = append(p.mine, s)
 			}
 		}
 	}
