A fault soak of the platform form

hornbeamlab soak plays random faults on real hornbeamway processes: signals, cuts and silence on the links to the store and the servers, an ill store, servers that lose, cut, double or forge answers, reused addresses, drains, planned stops and configurations. The judge checks whole own answers, at most once, true refusals, planned stops, drain, configuration, timeouts and recovery, from what callers and servers see.

--- a/cmd/hornbeamlab/main.go
+++ b/cmd/hornbeamlab/main.go
@@ -16,6 +16,7 @@
 	Demo  *demoCommand  `arg:"subcommand:demo" help:"two regions on loopback, traffic of all classes, changes of the preset and a drain; a report"`
 	Load  *loadCommand  `arg:"subcommand:load" help:"load a running system"`
 	Bench *benchCommand `arg:"subcommand:bench" help:"measure; without a subcommand a short set"`
+	Soak  *soakCommand  `arg:"subcommand:soak" help:"random faults on the platform form; exits 1 when a promise was broken"`
 	Chaos *chaosCommand `arg:"subcommand:chaos" help:"faults under load; exits 1 when a promise was broken"`
 }
 
@@ -37,6 +38,8 @@
 		err = args.Load.run(ctx)
 	case args.Bench != nil:
 		err = args.Bench.run(ctx)
+	case args.Soak != nil:
+		err = args.Soak.run(ctx)
 	case args.Chaos != nil:
 		err = args.Chaos.run(ctx)
 	default:
--- /dev/null
+++ b/cmd/hornbeamlab/soak.go
@@ -0,0 +1,39 @@
+package main
+
+import (
+	"context"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hornbeamway/hornbeamway/internal/lab/soak"
+)
+
+type soakCommand struct {
+	Bin     string   `arg:"--bin" default:"bin" help:"directory of the programs"`
+	Seed    uint64   `arg:"--seed" default:"1" help:"first seed"`
+	Seeds   int      `arg:"--seeds" default:"1" help:"number of seeds, one after the other"`
+	Seconds int      `arg:"--seconds" default:"20" help:"time of the faults of each seed"`
+	VMs     int      `arg:"--vms" default:"6" help:"entry VMs, at least 2"`
+	Servers int      `arg:"--servers" default:"4" help:"backend servers of each of the four services"`
+	Callers int      `arg:"--callers" default:"24" help:"callers"`
+	Network uint64   `arg:"--network" default:"1" help:"tells apart runs that are on one machine at the same time"`
+	Only    []string `arg:"--only" help:"limits the faults to those whose name begins so, for example vm.pause store"`
+}
+
+// run plays the seeds and reports the first failure after all of them.
+func (c *soakCommand) run(ctx context.Context) error {
+	var first error
+	for i := range c.Seeds {
+		err := soak.Run(ctx, soak.Options{Bin: c.Bin, Seed: c.Seed + uint64(i), Network: c.Network, VMs: c.VMs, ServersEach: c.Servers,
+			Callers: c.Callers, Duration: time.Duration(c.Seconds) * time.Second, Only: c.Only, Out: os.Stdout})
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if err != nil && first == nil {
+			first = errors.Wrapf(err, "seed %d", c.Seed+uint64(i))
+		}
+	}
+	return first
+}
--- a/internal/lab/cluster/process.go
+++ b/internal/lab/cluster/process.go
@@ -43,8 +43,14 @@
 	return work
 })
 
-// startProcess starts a program that is killed when this process ends. Terminal signals do not reach it.
+// startProcess is StartProcess with the environment of this process.
 func startProcess(name, logFile, program string, args ...string) (*Process, error) {
+	return StartProcess(name, logFile, nil, program, args...)
+}
+
+// StartProcess starts a program that is killed when this process ends. Terminal signals do not reach it. env is added to the
+// environment of this process. Error: ErrProcess.
+func StartProcess(name, logFile string, env []string, program string, args ...string) (*Process, error) {
 	out, err := os.OpenFile(logFile, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
 	if err != nil {
 		return nil, errors.Mark(err, ErrProcess)
@@ -52,6 +58,7 @@
 	defer func() { _ = out.Close() }()
 	p := &Process{Name: name, LogFile: logFile, cmd: exec.Command(program, args...), done: make(chan struct{})}
 	p.cmd.Stdout, p.cmd.Stderr = out, out
+	p.cmd.Env = append(os.Environ(), env...)
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL, Setpgid: true}
 	started := make(chan error, 1)
 	starter() <- func() { started <- p.cmd.Start() }
