Know configuration and servers sooner after a restart; refuse earlier when full

In floods requests were queued that came late anyway. Change: only at the first start of the whole system VMs wait that long; a VM that is heard for the first time gets a heartbeat at once; a request is refused when its answer is expected after 1.2 objectives instead of 2, and may come back after a tenth of the objective.

--- a/pkg/directory/directory_test.go
+++ b/pkg/directory/directory_test.go
@@ -149,7 +149,7 @@
 		store, peers = newFakeStore(), &fakePeers{}
 		state = NewState(now, plainCodec{}, func(*View) {})
 		joined = nil
-		follower = NewFollower(now, state, store, peers, func(b Batch) { joined = append(joined, b) })
+		follower = NewFollower(now, state, store, peers, true, func(b Batch) { joined = append(joined, b) })
 		follower.self, follower.started = "self", now.Now()
 		store.put(Configuration, "config", []byte("3"))
 		store.putServer(a)
@@ -269,7 +269,7 @@
 	// Guards against a VM that cannot reach the store at its start and serves nothing although others know everything.
 	It("takes over what another VM knows when the store does not answer", func() {
 		other := NewState(now, plainCodec{}, func(*View) {})
-		source := NewFollower(now, other, store, &fakePeers{}, func(Batch) {})
+		source := NewFollower(now, other, store, &fakePeers{}, true, func(Batch) {})
 		source.read(context.Background())
 		store.setDown(true)
 		peers.seeds, peers.snapshots = []string{"dead", "vm"}, map[string]Snapshot{"vm": other.Snapshot()}
@@ -309,6 +309,17 @@
 		Expect(joined).To(HaveLen(1))
 	})
 
+	// Guards against callers that are refused after a power loss of all VMs because each waits for the others.
+	It("waits less for what the seeds know when callers are there already", func() {
+		follower = NewFollower(now, state, store, peers, false, func(Batch) {})
+		follower.self, follower.started = "self", now.Now()
+		peers.seeds = []string{"other"}
+		read()
+		Expect(state.Known()).To(BeFalse())
+		pass(110 * time.Millisecond)
+		Expect(state.Known()).To(BeTrue())
+	})
+
 	// Guards against a VM that asks for the same snapshot with each heartbeat.
 	It("asks only VMs that know something later", func() {
 		read()
--- a/pkg/directory/follower.go
+++ b/pkg/directory/follower.go
@@ -27,8 +27,10 @@
 	// retryDelay and retryMax bound the wait after a failed read; it doubles with each failure.
 	retryDelay = 200 * time.Millisecond
 	retryMax   = time.Second
-	// seedWait is how long a VM that has seeds waits at its start for what they know, before it reads the store itself.
-	seedWait = 700 * time.Millisecond
+	// firstWait and seedWait are how long a VM that has seeds waits for what they know before it reads the store itself: when
+	// the whole system starts for the first time, and no caller waits yet, and at any other start.
+	firstWait = 700 * time.Millisecond
+	seedWait  = 100 * time.Millisecond
 	// announcedVMs is the number of VMs of a region that are listed in the store, announceAfter the time after the start at
 	// which the order of the VMs is known, and askVMsInterval how often a VM that hears no other asks for them.
 	announcedVMs   = 3
@@ -70,8 +72,9 @@
 	joined func(Batch)
 
 	// self is the address of this VM, started the time of its start.
-	self    string
-	started time.Time
+	self      string
+	started   time.Time
+	startWait time.Duration
 	// lastRead is the last time at which the store answered this VM.
 	lastRead  atomic.Int64
 	failures  int
@@ -84,9 +87,14 @@
 // laterVMs is the number of VMs with later knowledge that wait to be asked. One answer serves for all of them.
 const laterVMs = 8
 
-// NewFollower returns a follower. joined receives the addresses of the other VMs.
-func NewFollower(c clock.Clock, state *State, store Store, peers Peers, joined func(Batch)) *Follower {
-	return &Follower{clock: c, state: state, store: store, peers: peers, joined: joined, later: make(chan string, laterVMs)}
+// NewFollower returns a follower. joined receives the addresses of the other VMs. firstStart says that the whole system
+// starts for the first time.
+func NewFollower(c clock.Clock, state *State, store Store, peers Peers, firstStart bool, joined func(Batch)) *Follower {
+	f := &Follower{clock: c, state: state, store: store, peers: peers, joined: joined, startWait: seedWait, later: make(chan string, laterVMs)}
+	if firstStart {
+		f.startWait = firstWait
+	}
+	return f
 }
 
 // Observe takes the digest of the VM at an address.
@@ -124,7 +132,7 @@
 	}
 	age, ok := f.state.Age()
 	if !ok {
-		return f.seeded() || f.clock.Now().Sub(f.started) >= seedWait
+		return f.seeded() || f.clock.Now().Sub(f.started) >= f.startWait
 	}
 	if age < readInterval {
 		return false
--- a/pkg/entryvm/settings.go
+++ b/pkg/entryvm/settings.go
@@ -22,6 +22,8 @@
 	Store string
 	// Seeds are peer addresses of some entry VMs; they may be stale.
 	Seeds []string
+	// FirstStart says that the whole system starts for the first time.
+	FirstStart bool
 	// Regions maps data centres to regions.
 	Regions map[string]string
 	// StopTime is the time from the stop signal to the end of the process. Default 6s.
--- a/pkg/entryvm/vm.go
+++ b/pkg/entryvm/vm.go
@@ -115,7 +115,7 @@
 	})
 	do.Provide(i, func(i do.Injector) (*directory.Follower, error) {
 		store := p.Store(s.Store, upstream.NewTransport(storeTransport()))
-		return directory.NewFollower(system, do.MustInvoke[*directory.State](i), store, v, v.joined), nil
+		return directory.NewFollower(system, do.MustInvoke[*directory.State](i), store, v, s.FirstStart, v.joined), nil
 	})
 	do.ProvideValue(i, upstream.NewTransport(v.serverTransport()))
 	do.Provide(i, func(i do.Injector) (*prober.Prober, error) {
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -19,9 +19,9 @@
 	leastLeft = 5 * time.Millisecond
 	// overloadFactor is the expected time in objectives above which a request is refused, because it would be late anyway
 	// and make others late.
-	overloadFactor = 2.0
+	overloadFactor = 1.2
 	// overloadRetryShare is the Retry-After of an overloaded service, as a share of the objective.
-	overloadRetryShare = 0.25
+	overloadRetryShare = 0.1
 )
 
 // serve brings a request to a server. The error is a *problem.Problem.
--- a/pkg/loadshare/peers.go
+++ b/pkg/loadshare/peers.go
@@ -25,6 +25,8 @@
 	nearRounds = 5
 	// greetTime is how long a VM that was learnt of gets every heartbeat.
 	greetTime = time.Second
+	// greetPause is the least time between two heartbeats.
+	greetPause = 15 * time.Millisecond
 	// sampleSize is the number of addresses of other VMs in a heartbeat, firstSample that within firstTime of the start.
 	sampleSize  = 4
 	firstSample = 40
@@ -78,6 +80,10 @@
 		return false
 	}
 	if !p.live {
+		select {
+		case s.greet <- struct{}{}:
+		default: // One is asked for already.
+		}
 		klog.InfoS("VM heard", "vm", m.vm, "address", from, "region", m.region, "start", m.start)
 	}
 	p.live, p.heard, p.name, p.dataCentre, p.region = true, now, m.vm, m.dataCentre, m.region
--- a/pkg/loadshare/sharer.go
+++ b/pkg/loadshare/sharer.go
@@ -62,6 +62,8 @@
 	events   chan Event
 	// group are the VMs that get every event.
 	group atomic.Pointer[[]netip.AddrPort]
+	// greet asks for a heartbeat at once, because a VM was heard for the first time.
+	greet chan struct{}
 	// narrow says that the group is the data centre, not the region.
 	narrow atomic.Bool
 
@@ -73,7 +75,7 @@
 func New(o Options) *Sharer {
 	self := o.Conn.LocalAddr().(*net.UDPAddr).AddrPort()
 	s := &Sharer{Options: o, self: netip.AddrPortFrom(self.Addr().Unmap(), self.Port()), start: time.Now().UnixMilli(),
-		events: make(chan Event, eventRing), peers: map[netip.AddrPort]*peer{}}
+		events: make(chan Event, eventRing), greet: make(chan struct{}, 1), peers: map[netip.AddrPort]*peer{}}
 	s.group.Store(&[]netip.AddrPort{})
 	return s
 }
@@ -156,10 +158,20 @@
 		case <-ctx.Done():
 			return
 		case <-s.Clock.After(heartbeatInterval):
+		case <-s.greet:
+			s.pause(ctx, greetPause)
 		}
 	}
 }
 
+// pause waits, so that VMs that start together share one heartbeat.
+func (s *Sharer) pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-s.Clock.After(d):
+	}
+}
+
 func (s *Sharer) send(datagram []byte, targets []netip.AddrPort) {
 	for _, address := range targets {
 		if _, err := s.Conn.WriteToUDPAddrPort(datagram, address); err != nil {
