Hand on changes of servers only, and configurations compressed and once

Change: a VM says what it knows and gets the rest; it asks one of the VMs that have told, after up to 120 ms; VMs behind the first four of a region retry every 3 s. Ruled out: a VM that could not read (the store answered again at 26.1 s, and the configuration of that time was in force at 26.4 s).

--- a/pkg/directory/directory_test.go
+++ b/pkg/directory/directory_test.go
@@ -126,7 +126,7 @@
 func (p *fakePeers) Rank() int       { return p.rank }
 func (p *fakePeers) Alone() bool     { return len(p.seeds) == 0 }
 func (p *fakePeers) Seeds() []string { return p.seeds }
-func (p *fakePeers) Snapshot(_ context.Context, address string) (Snapshot, error) {
+func (p *fakePeers) Snapshot(_ context.Context, address string, _ Known) (Snapshot, error) {
 	snap, ok := p.snapshots[address]
 	if !ok {
 		return Snapshot{}, errors.New("no such VM")
@@ -192,7 +192,7 @@
 		store.put(Configuration, "config", []byte("4"))
 		pass(1100 * time.Millisecond)
 		Expect(state.Table().Version).To(Equal(int64(5)))
-		state.Adopt(Snapshot{Digest: Digest{ConfigVersion: 4}, ConfigKey: "config", ConfigRecord: []byte("4")}, "vm")
+		state.Adopt(Snapshot{Digest: Digest{ConfigVersion: 4}, ConfigKey: "config", ConfigRecord: compress([]byte("4"))}, "vm")
 		Expect(state.Table().Version).To(Equal(int64(5)))
 	})
 
@@ -266,13 +266,29 @@
 		Expect(store.reads).To(BeNumerically(">", reads), "the reader is silent")
 	})
 
+	// Guards against an outage that costs a call a second for each VM.
+	It("asks a store that is away less often from the back of the order", func() {
+		read()
+		store.setDown(true)
+		count := func(rank int) int {
+			peers.rank = rank
+			before := store.reads
+			for range 100 {
+				pass(100 * time.Millisecond)
+			}
+			return (store.reads - before) / 2
+		}
+		Expect(count(0)).To(BeNumerically(">=", 9))
+		Expect(count(9)).To(BeNumerically("<=", 6))
+	})
+
 	// Guards against a VM that cannot reach the store at its start and serves nothing although others know everything.
 	It("takes over what another VM knows when the store does not answer", func() {
 		other := NewState(now, plainCodec{}, func(*View) {})
 		source := NewFollower(now, other, store, &fakePeers{}, true, func(Batch) {})
 		source.read(context.Background())
 		store.setDown(true)
-		peers.seeds, peers.snapshots = []string{"dead", "vm"}, map[string]Snapshot{"vm": other.Snapshot()}
+		peers.seeds, peers.snapshots = []string{"dead", "vm"}, map[string]Snapshot{"vm": other.Snapshot(Known{})}
 		read()
 		Expect(state.Known()).To(BeFalse(), "the seeds may tell by themselves")
 		pass(800 * time.Millisecond)
@@ -320,6 +336,31 @@
 		Expect(state.Known()).To(BeTrue())
 	})
 
+	// Guards against snapshots of a large configuration with each change of a server: on a grown deployment they took longer
+	// than the bound of a change of configuration.
+	It("hands on only what the other VM does not know", func() {
+		read()
+		other := NewState(now, plainCodec{}, func(*View) {})
+		whole := state.Snapshot(Known{})
+		Expect(whole.Since).To(BeZero())
+		other.Adopt(whole, "vm")
+		store.put(Servers, "b", nil)
+		store.putServer(Server{ID: "c", Service: "s", Address: "3", Slots: 3, Incarnation: 1, Sequence: 1})
+		pass(1100 * time.Millisecond)
+		d := other.Digest()
+		changes := state.Snapshot(Known{ConfigVersion: d.ConfigVersion, ServersRevision: d.ServersRevision})
+		Expect(changes.ConfigRecord).To(BeEmpty())
+		Expect(changes.Servers).To(HaveLen(1))
+		Expect(changes.Removed).To(Equal([]string{"b"}))
+		other.Adopt(changes, "vm")
+		Expect(other.View().ByService["s"]).To(HaveLen(2))
+		Expect(other.Digest().ServersRevision).To(Equal(state.Digest().ServersRevision))
+		behind := NewState(now, plainCodec{}, func(*View) {})
+		behind.Adopt(changes, "vm")
+		Expect(behind.View().ByService["s"]).To(BeEmpty(), "changes to what is not known leave a gap")
+		Expect(state.Snapshot(Known{ConfigVersion: 3, ServersRevision: 1}).Since).To(BeZero(), "older than what the history covers")
+	})
+
 	// Guards against a VM that asks for the same snapshot with each heartbeat.
 	It("asks only VMs that know something later", func() {
 		read()
--- a/pkg/directory/follower.go
+++ b/pkg/directory/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -18,15 +19,19 @@
 	// readInterval is the age of what is known at which the first VM of the region reads the store again.
 	readInterval = time.Second
 	// standbyDelay is the further age at which the next VM in order takes the reading over, and standbyStep what each one
-	// behind it adds. All have read by readInterval + standbyDelay + standbyMax.
+	// behind it adds; for those behind the first few it is farStep. All have read by readInterval + standbyDelay + standbyMax.
 	standbyDelay = 300 * time.Millisecond
 	standbyStep  = 100 * time.Millisecond
-	standbyMax   = 400 * time.Millisecond
+	farStep      = 15 * time.Millisecond
+	standbyMax   = 700 * time.Millisecond
 	// readTimeout bounds one call to the store. A connection that has gone silent is noticed by it.
 	readTimeout = 500 * time.Millisecond
-	// retryDelay and retryMax bound the wait after a failed read; it doubles with each failure.
-	retryDelay = 200 * time.Millisecond
-	retryMax   = time.Second
+	// retryDelay is the first wait after a failed read; it doubles with each failure up to retryMax, and up to farRetryMax for
+	// the VMs behind the first firstReaders of the region: each call is paid for, also one that the store refuses.
+	retryDelay   = 200 * time.Millisecond
+	retryMax     = time.Second
+	farRetryMax  = 3 * time.Second
+	firstReaders = 4
 	// firstWait and seedWait are how long a VM that has seeds waits for what they know before it reads the store itself: when
 	// the whole system starts for the first time, and no caller waits yet, and at any other start.
 	firstWait = 700 * time.Millisecond
@@ -38,6 +43,8 @@
 	askVMsInterval = 5 * time.Second
 	// checkInterval is how often the age is looked at.
 	checkInterval = 20 * time.Millisecond
+	// spreadTime is the time within which the VMs that are behind ask one that is not.
+	spreadTime = 120 * time.Millisecond
 	// handOnTimeout bounds the transfer of a snapshot between two VMs.
 	handOnTimeout = 500 * time.Millisecond
 )
@@ -52,8 +59,8 @@
 type Peers interface {
 	// Rank returns the number of live VMs of the region that read the store before this one.
 	Rank() int
-	// Snapshot asks another VM for all that it knows.
-	Snapshot(ctx context.Context, address string) (Snapshot, error)
+	// Snapshot asks another VM for what it knows beyond known.
+	Snapshot(ctx context.Context, address string, known Known) (Snapshot, error)
 	// Alone reports whether no other VM of the region is heard.
 	Alone() bool
 	// Seeds returns the addresses of VMs that may know something, for a VM that cannot reach the store.
@@ -139,7 +146,8 @@
 	}
 	limit := readInterval
 	if rank := f.peers.Rank(); rank > 0 {
-		limit += standbyDelay + min(standbyMax, time.Duration(rank-1)*standbyStep)
+		near := min(rank-1, firstReaders)
+		limit += standbyDelay + min(standbyMax, time.Duration(near)*standbyStep+time.Duration(rank-1-near)*farStep)
 	}
 	return age >= limit
 }
@@ -173,7 +181,11 @@
 	}
 	storeFailures.Inc()
 	f.failures++
-	wait := min(retryMax, retryDelay<<min(f.failures-1, 3))
+	limit := retryMax
+	if f.peers.Rank() >= firstReaders {
+		limit = farRetryMax
+	}
+	wait := min(limit, retryDelay<<min(f.failures-1, 4))
 	f.nextTry = f.clock.Now().Add(wait)
 	age, known := f.state.Age()
 	klog.InfoS("store not read", "err", err, "failures", f.failures, "retryIn", wait, "known", known, "age", age)
@@ -258,26 +270,42 @@
 	}
 }
 
-// takeOver asks VMs that know something later.
+// takeOver asks VMs that know something later. It waits a moment and picks one of those that have told by then, so that not
+// all VMs ask the one that read the store.
 func (f *Follower) takeOver(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case address := <-f.later:
-			f.ask(ctx, address)
-			f.forgetLater()
+		case first := <-f.later:
+			if f.state.Known() {
+				f.wait(ctx, time.Duration(rand.Int64N(int64(spreadTime))))
+			}
+			f.ask(ctx, f.pickLater(first))
 		}
 	}
 }
 
-// forgetLater drops the VMs that told before the last answer: those that still know more will tell again.
-func (f *Follower) forgetLater() {
+func (f *Follower) wait(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-f.clock.After(d):
+	}
+}
+
+// pickLater returns first or one of the VMs that wait to be asked, and drops the others: those that still know more after
+// the answer tell again.
+func (f *Follower) pickLater(first string) string {
+	picked, seen := first, 1
 	for {
 		select {
-		case <-f.later:
+		case address := <-f.later:
+			seen++
+			if rand.IntN(seen) == 0 {
+				picked = address
+			}
 		default:
-			return
+			return picked
 		}
 	}
 }
@@ -285,7 +313,8 @@
 func (f *Follower) ask(ctx context.Context, address string) bool {
 	ctx, cancel := context.WithTimeout(ctx, handOnTimeout)
 	defer cancel()
-	snap, err := f.peers.Snapshot(ctx, address)
+	d := f.state.Digest()
+	snap, err := f.peers.Snapshot(ctx, address, Known{ConfigVersion: d.ConfigVersion, ServersRevision: d.ServersRevision})
 	if err != nil {
 		klog.InfoS("no snapshot from another VM", "vm", address, "err", err)
 		return false
--- a/pkg/directory/state.go
+++ b/pkg/directory/state.go
@@ -42,6 +42,7 @@
 	configRecord []byte
 	servers      map[string]*Server
 	lapsed       map[string]time.Time // until when a server without an entry is still used
+	history      history
 	digest       Digest
 	confirmed    time.Time // when the store held what is known here; zero: never
 	graceUntil   time.Time // lapsed entries come back until then
@@ -49,7 +50,8 @@
 
 // NewState returns a state that knows nothing.
 func NewState(c clock.Clock, codec Codec, onChange func(*View)) *State {
-	s := &State{clock: c, codec: codec, onChange: onChange, servers: map[string]*Server{}, lapsed: map[string]time.Time{}}
+	s := &State{clock: c, codec: codec, onChange: onChange, servers: map[string]*Server{}, lapsed: map[string]time.Time{},
+		history: newHistory(0)}
 	s.view.Store(&View{})
 	return s
 }
@@ -90,26 +92,6 @@
 	return d
 }
 
-// Snapshot returns all that is known.
-func (s *State) Snapshot() Snapshot {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := s.clock.Now()
-	snap := Snapshot{Digest: s.digestLocked(), ConfigKey: s.configKey, ConfigRecord: s.configRecord}
-	for _, server := range s.servers {
-		copied := *server
-		copied.WarmUpMillis = max(0, server.WarmUntil.Sub(now).Milliseconds())
-		snap.Servers = append(snap.Servers, copied)
-	}
-	for id, until := range s.lapsed {
-		if snap.Lapsed == nil {
-			snap.Lapsed = map[string]int64{}
-		}
-		snap.Lapsed[id] = max(0, until.Sub(now).Milliseconds())
-	}
-	return snap
-}
-
 // applyConfiguration takes records of Configuration.
 func (s *State) applyConfiguration(b Batch) {
 	s.mu.Lock()
@@ -151,6 +133,7 @@
 		if s.applyServer(r, now) {
 			changed = true
 			s.digest.ServersRevision = max(s.digest.ServersRevision, r.Offset+1)
+			s.history.note(r.Key, s.servers[r.Key] == nil, r.Offset+1)
 		}
 	}
 	if whole {
@@ -160,6 +143,7 @@
 			}
 		}
 		s.digest.ServersRevision = max(s.digest.ServersRevision, b.Next)
+		s.history = newHistory(s.digest.ServersRevision)
 	}
 	s.digest.ServersNext = max(s.digest.ServersNext, b.Next)
 	if s.dropLapsed(now) || changed {
@@ -259,38 +243,6 @@
 	klog.InfoS("store is back", "away", now.Sub(s.confirmed))
 }
 
-// Adopt takes over what another VM knows, where that is later.
-func (s *State) Adopt(snap Snapshot, from string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := s.clock.Now()
-	if snap.ConfigVersion > s.digest.ConfigVersion {
-		s.adoptTable(snap.ConfigKey, snap.ConfigRecord, from, snap.ConfigNext)
-	}
-	if snap.ServersRevision > s.digest.ServersRevision {
-		s.adoptServers(snap, now, from)
-	}
-	if s.digest.ConfigVersion == snap.ConfigVersion && s.digest.ServersRevision == snap.ServersRevision {
-		s.agree(snap.Digest, now)
-	}
-}
-
-func (s *State) adoptServers(snap Snapshot, now time.Time, from string) {
-	s.servers = make(map[string]*Server, len(snap.Servers))
-	s.lapsed = map[string]time.Time{}
-	for _, server := range snap.Servers {
-		server.WarmUntil = now.Add(time.Duration(server.WarmUpMillis) * time.Millisecond)
-		s.servers[server.ID] = &server
-	}
-	for id, left := range snap.Lapsed {
-		s.lapsed[id] = now.Add(time.Duration(left) * time.Millisecond)
-	}
-	klog.InfoS("servers taken over from another VM", "vm", from, "servers", len(snap.Servers), "revision", snap.ServersRevision,
-		"previous", s.digest.ServersRevision, "age", snap.AgeMillis)
-	s.digest.ServersRevision = snap.ServersRevision
-	s.publish()
-}
-
 // agree notes that another VM with a later confirmation knows the same.
 func (s *State) agree(d Digest, now time.Time) {
 	s.digest.ConfigNext = max(s.digest.ConfigNext, d.ConfigNext)
--- a/pkg/directory/types.go
+++ b/pkg/directory/types.go
@@ -114,13 +114,23 @@
 	AgeMillis int64
 }
 
-// Snapshot is all that a VM knows, for another VM to take over.
+// Known is what a VM that asks for a snapshot knows already.
+type Known struct {
+	ConfigVersion   int64 `json:"configVersion"`
+	ServersRevision int64 `json:"serversRevision"`
+}
+
+// Snapshot is what a VM knows beyond what another one does, for that one to take over.
 type Snapshot struct {
 	Digest
-	// ConfigKey and ConfigRecord are the record of the configuration as the store holds it.
-	ConfigKey    string   `json:"configKey"`
-	ConfigRecord []byte   `json:"configRecord"`
-	Servers      []Server `json:"servers"`
+	// ConfigKey and ConfigRecord are the record of the configuration as the store holds it, compressed; empty if the other VM
+	// has it.
+	ConfigKey    string `json:"configKey,omitempty"`
+	ConfigRecord []byte `json:"configRecord,omitempty"`
+	// Since is the revision of the servers from which on Servers and Removed tell the changes; 0: Servers are all.
+	Since   int64    `json:"since,omitempty"`
+	Servers []Server `json:"servers,omitempty"`
+	Removed []string `json:"removed,omitempty"`
 	// Lapsed are ids of servers whose entries were lost while the store was away, with the milliseconds for which they are
 	// still used.
 	Lapsed map[string]int64 `json:"lapsed,omitempty"`
--- a/pkg/entryvm/vm.go
+++ b/pkg/entryvm/vm.go
@@ -138,13 +138,13 @@
 	v.state, v.sharer = do.MustInvoke[*directory.State](i), do.MustInvoke[*loadshare.Sharer](i)
 	v.prober = do.MustInvoke[*prober.Prober](i)
 	v.retries, v.follower = do.MustInvoke[*retrybudget.Budgets](i), do.MustInvoke[*directory.Follower](i)
-	peer.Handle(v.calls, methodSnapshot, func(context.Context, struct{}) (directory.Snapshot, error) {
-		return v.state.Snapshot(), nil
+	peer.Handle(v.calls, methodSnapshot, func(_ context.Context, known directory.Known) (directory.Snapshot, error) {
+		return v.state.Snapshot(known), nil
 	})
 	return v, nil
 }
 
-// methodSnapshot asks another VM for all that it knows.
+// methodSnapshot asks another VM for what it knows beyond this one.
 const methodSnapshot = "directory.snapshot"
 
 // Rank implements directory.Peers.
@@ -170,8 +170,8 @@
 const askedVMs = 3
 
 // Snapshot implements directory.Peers.
-func (v *vm) Snapshot(ctx context.Context, address string) (directory.Snapshot, error) {
-	return peer.Call[directory.Snapshot](ctx, v.pool, address, methodSnapshot, struct{}{})
+func (v *vm) Snapshot(ctx context.Context, address string, known directory.Known) (directory.Snapshot, error) {
+	return peer.Call[directory.Snapshot](ctx, v.pool, address, methodSnapshot, known)
 }
 
 // joined takes the VMs that the store lists.
--- a/pkg/gateway/fixture_test.go
+++ b/pkg/gateway/fixture_test.go
@@ -179,12 +179,15 @@
 	return t
 }
 
+// emptyGzip is an empty record in gzip.
+var emptyGzip = []byte{31, 139, 8, 0, 0, 0, 0, 0, 0, 255, 1, 0, 0, 255, 255, 0, 0, 0, 0, 0, 0, 0, 0}
+
 // start serves the backends in the order in which they are to be chosen.
 func start(backends ...*backend) *fixture {
 	b := balance.New(balance.Place{DataCentre: "d", Region: "r"}, 1)
 	f := &fixture{retries: retrybudget.New(0.2, 4)}
 	f.state = directory.NewState(clock.System{}, fixedCodec{table(1)}, b.SetServers)
-	snap := directory.Snapshot{Digest: directory.Digest{ConfigVersion: 1, ServersRevision: 1}, ConfigKey: "config"}
+	snap := directory.Snapshot{Digest: directory.Digest{ConfigVersion: 1, ServersRevision: 1}, ConfigKey: "config", ConfigRecord: emptyGzip}
 	for i, target := range backends {
 		// Slots make the earlier ones cheaper: the first is idle, the others crowded.
 		snap.Servers = append(snap.Servers, directory.Server{ID: fmt.Sprint("s", i), Service: "s", Address: target.address,
