--- a/internal/lab/soak/proxy.go
+++ b/internal/lab/soak/proxy.go
@@ -29,8 +29,8 @@
 // proxy is a loopback relay in front of one address.
 type proxy struct {
 	listener net.Listener
-	mu       sync.Mutex
 	target   string
+	mu       sync.Mutex
 	mode     mode
 	conns    map[net.Conn]struct{}
 }
@@ -53,16 +53,10 @@
 	p.mode = m
 }
 
-func (p *proxy) retarget(address string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.target = address
-}
-
-func (p *proxy) state() (mode, string) {
+func (p *proxy) now() mode {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.mode, p.target
+	return p.mode
 }
 
 // reset breaks the open connections.
@@ -98,12 +92,11 @@
 }
 
 func (p *proxy) relay(c net.Conn) {
-	m, target := p.state()
-	if m == refuse {
+	if p.now() == refuse {
 		abort(c)
 		return
 	}
-	server, err := net.DialTimeout("tcp", target, time.Second)
+	server, err := net.DialTimeout("tcp", p.target, time.Second)
 	if err != nil {
 		abort(c)
 		return
@@ -128,7 +121,7 @@
 	buffer := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buffer)
-		m, _ := p.state()
+		m := p.now()
 		dropped := m == silence || m == oneWay && fromServer
 		if m == delay {
 			time.Sleep(time.Duration(rand.Int64N(int64(delayMax))))
--- /dev/null
+++ b/internal/lab/soak/soak_test.go
@@ -0,0 +1,35 @@
+package soak_test
+
+import (
+	"os/exec"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hornbeamway/hornbeamway/internal/lab/soak"
+)
+
+func TestSoak(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "soak")
+}
+
+// Guards the promises of the platform form together, on real processes: each seed draws its own faults. Seeds that ever broke
+// a promise are added here with a line on the cause.
+var _ = Describe("platform form under faults", func() {
+	var bin string
+	BeforeEach(func(ctx SpecContext) {
+		bin = GinkgoT().TempDir()
+		out, err := exec.CommandContext(ctx, "go", "build", "-o", bin+"/", "../../../cmd/hornbeamway").CombinedOutput()
+		Expect(err).NotTo(HaveOccurred(), string(out))
+	}, NodeTimeout(2*time.Minute))
+
+	DescribeTable("keeps its promises", func(ctx SpecContext, seed int) {
+		Expect(soak.Run(ctx, soak.Options{Bin: bin, Seed: uint64(seed), Network: 7, VMs: 4, ServersEach: 3, Callers: 12,
+			Duration: 10 * time.Second, Out: GinkgoWriter})).To(Succeed())
+	},
+		Entry(nil, SpecTimeout(2*time.Minute), 1),
+	)
+})
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -129,7 +129,7 @@
 	body, err := io.ReadAll(io.LimitReader(stream, keptAnswer+1))
 	switch {
 	case err != nil:
-		return &upstream.Error{Stage: upstream.StageRead, Written: true, Timeout: isTimeout(err), Cause: err}
+		return &upstream.Error{Stage: upstream.StageRead, Written: true, Timeout: ingress.IsTimeout(err), Cause: err}
 	case len(body) > keptAnswer:
 		stream.Unread(body)
 		return nil
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -105,6 +105,10 @@
 		return notRun(problem.ReasonNotReady, "this VM serves no requests", notReadyRetry)
 	}
 	c.version = table.Version
+	if limit := table.Limits.HeaderBytes; limit > 0 && len(h.RawHeaders()) > limit {
+		c.last = true
+		return problem.New(fasthttp.StatusRequestHeaderFieldsTooLarge, problem.NotRun, problem.ReasonBadRequest, "request head is too large")
+	}
 	c.route = table.Match(string(h.Host()), string(ingress.RequestPath(h)))
 	if c.route == nil {
 		return problem.New(fasthttp.StatusNotFound, problem.NotRun, problem.ReasonNoRoute, "no route matches the host and path")
--- a/pkg/gateway/fixture_test.go
+++ b/pkg/gateway/fixture_test.go
@@ -167,6 +167,7 @@
 const (
 	routeTimeout = 600 * time.Millisecond
 	objective    = 200 * time.Millisecond
+	headerLimit  = 4 << 10
 )
 
 func table(version int64) *routing.Table {
@@ -174,7 +175,7 @@
 	t, err := routing.NewTable(version, []routing.Route{
 		{Name: "safe", Host: "h", Prefix: "/safe/", Shares: share, Idempotent: true, Timeout: routeTimeout, Objective: objective, MaxAttempts: 2},
 		{Name: "once", Host: "h", Prefix: "/once/", Shares: share, Timeout: routeTimeout, Objective: objective, MaxAttempts: 2},
-	}, []routing.Service{{Name: "s"}}, routing.Limits{BodyBytes: 8 << 20})
+	}, []routing.Service{{Name: "s"}}, routing.Limits{BodyBytes: 8 << 20, HeaderBytes: headerLimit})
 	Expect(err).NotTo(HaveOccurred())
 	return t
 }
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -25,8 +25,8 @@
 var ErrServe = errors.New("serving callers failed")
 
 const (
-	// defaultHeaderBytes is the largest request head.
-	defaultHeaderBytes = 16 << 10
+	// readBuffer is the largest request head in bytes that can be read; the configuration may allow less.
+	readBuffer = 20 << 10
 	// keptBody is the largest request body in bytes that is read before it is sent on, so that it can be sent again.
 	keptBody = 256 << 10
 	// streamFrom is the size in bytes from which the library hands a request body over as a stream.
@@ -78,7 +78,7 @@
 		StreamRequestBody:            true,
 		ReduceMemoryUsage:            true,
 		DisablePreParseMultipartForm: true,
-		ReadBufferSize:               defaultHeaderBytes,
+		ReadBufferSize:               readBuffer,
 		MaxRequestBodySize:           streamFrom,
 		Concurrency:                  maxConnections,
 		CloseOnShutdown:              true,
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -163,6 +163,21 @@
 		f.Refuse()
 	})
 
+	// Guards against heads and bodies beyond the limits of the configuration.
+	It("refuses heads and bodies that are too large", func() {
+		b := startBackend(good)
+		f := start(b)
+		c := f.dial()
+		_, err := fmt.Fprintf(c, "GET /safe/ HTTP/1.1\r\nHost: h\r\nId: big\r\nX: %s\r\n\r\n", strings.Repeat("x", headerLimit))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(c.receive().StatusCode).To(Equal(431))
+		c = f.dial()
+		_, err = fmt.Fprintf(c, "POST /once/ HTTP/1.1\r\nHost: h\r\nId: big\r\nContent-Length: %d\r\n\r\n%s", 9<<20, strings.Repeat("x", 1<<17))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(c.receive().StatusCode).To(Equal(413))
+		Expect(b.count()).To(BeZero())
+	})
+
 	// Guards against a stop that cuts off requests.
 	It("serves on while it drains and ends each connection with its answer", func() {
 		release := make(chan struct{})
--- a/pkg/gateway/record.go
+++ b/pkg/gateway/record.go
@@ -10,7 +10,6 @@
 	"github.com/valyala/fasthttp"
 	"k8s.io/klog/v2"
 
-	"github.com/hornbeamway/hornbeamway/pkg/ingress"
 	"github.com/hornbeamway/hornbeamway/pkg/problem"
 )
 
@@ -28,8 +27,6 @@
 	return problem.New(fasthttp.StatusBadGateway, problem.Unknown, problem.ReasonUpstream, err.Error())
 }
 
-func isTimeout(err error) bool { return ingress.IsTimeout(err) }
-
 func countRefusal(p *problem.Problem) {
 	metrics.GetOrCreateCounter(fmt.Sprintf(`hornbeamway_gateway_refusals_total{reason=%q,outcome=%q}`, p.Reason, p.Outcome)).Inc()
 }
--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -1,9 +1,11 @@
 package upstream
 
 import (
+	"bytes"
 	"context"
 	"net"
 	"os"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -73,6 +75,7 @@
 	if err := x.readHead(); err != nil {
 		return err
 	}
+	x.readKeepAlive()
 	return x.readBody(ctx)
 }
 
@@ -222,6 +225,16 @@
 	return x.resp.SkipBody || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified
 }
 
+// readKeepAlive takes the time for which the other side keeps the connection open.
+func (x *exchange) readKeepAlive() {
+	for parameter := range bytes.SplitSeq(x.resp.Header.Peek("Keep-Alive"), []byte(",")) {
+		name, value, _ := bytes.Cut(bytes.TrimSpace(parameter), []byte("="))
+		if seconds, err := strconv.Atoi(string(value)); err == nil && seconds > 0 && bytes.EqualFold(name, []byte("timeout")) {
+			x.conn.keptFor = time.Duration(seconds) * time.Second
+		}
+	}
+}
+
 // giveBack returns the connection, or closes it if the answer ends its use.
 func (x *exchange) giveBack() {
 	if x.conn.broken || x.resp.Header.ConnectionClose() || x.resp.Header.ContentLength() == identityBody {
--- a/pkg/upstream/host.go
+++ b/pkg/upstream/host.go
@@ -29,7 +29,9 @@
 	lastAnswer time.Time // zero until the first answer was read to the end
 	written    int64     // bytes accepted by the kernel in this attempt
 	idleLimit  time.Duration
-	broken     bool // not to be used again, whatever the answer says
+	// keptFor is how long the other side keeps the connection open without a request; zero: not told.
+	keptFor time.Duration
+	broken  bool // not to be used again, whatever the answer says
 	// deadline is the socket's deadline for both directions, if deadlineKnown. To set it again would cost two timers.
 	deadline      time.Time
 	deadlineKnown bool
@@ -126,16 +128,12 @@
 // a connection that has gone silent or is being closed would leave its outcome unknown.
 func (h *host) takeIdle(idempotent bool) *conn {
 	now := h.opts.Clock.Now()
-	maxAge := h.opts.IdleTimeout
-	if !idempotent {
-		maxAge = h.opts.FreshTimeout
-	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for len(h.idle) > 0 {
 		last := len(h.idle) - 1
 		c := h.idle[last]
-		if now.Sub(c.lastAnswer) > maxAge {
+		if now.Sub(c.lastAnswer) > h.maxIdle(c, idempotent) {
 			// Older connections lie below the newest, so none of the others suits either.
 			return nil
 		}
@@ -150,13 +148,28 @@
 
 // hasIdle reports whether the newest idle connection is recent enough.
 func (h *host) hasIdle(idempotent bool) bool {
-	maxAge := h.opts.IdleTimeout
-	if !idempotent {
-		maxAge = h.opts.FreshTimeout
-	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return len(h.idle) > 0 && h.opts.Clock.Now().Sub(h.idle[len(h.idle)-1].lastAnswer) <= maxAge
+	if len(h.idle) == 0 {
+		return false
+	}
+	newest := h.idle[len(h.idle)-1]
+	return h.opts.Clock.Now().Sub(newest.lastAnswer) <= h.maxIdle(newest, idempotent)
+}
+
+// closeMargin is taken off the time for which the other side keeps a connection, so that a request does not cross its close.
+const closeMargin = time.Second
+
+// maxIdle is the age of the last answer up to which a connection may carry a request.
+func (h *host) maxIdle(c *conn, idempotent bool) time.Duration {
+	limit := h.opts.IdleTimeout
+	if !idempotent {
+		limit = h.opts.FreshTimeout
+	}
+	if c.keptFor > 0 {
+		limit = min(limit, max(c.keptFor-closeMargin, c.keptFor/2))
+	}
+	return limit
 }
 
 // closedByPeer looks at the socket without blocking: an end of stream, an error or unexpected bytes make the connection
--- a/pkg/upstream/upstream_test.go
+++ b/pkg/upstream/upstream_test.go
@@ -235,6 +235,37 @@
 		Expect(s.connections.Load()).To(BeEquivalentTo(2))
 	})
 
+	// Guards against a request that crosses the close of a connection that the server keeps for a short time only.
+	It("uses an idle connection only as long as the server keeps it", func() {
+		s := serve(func(_ int, _ string, c net.Conn) bool {
+			_, err := fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nKeep-Alive: max=9, timeout=4\r\n\r\nok")
+			return err == nil
+		})
+		Expect(get(s)).To(Succeed())
+		now.Advance(2900 * time.Millisecond)
+		Expect(transport.HasIdle(s.address, true)).To(BeTrue())
+		Expect(get(s)).To(Succeed())
+		now.Advance(3100 * time.Millisecond)
+		Expect(transport.HasIdle(s.address, true)).To(BeFalse())
+		Expect(get(s)).To(Succeed())
+		Expect(s.connections.Load()).To(BeEquivalentTo(2))
+	})
+
+	// Guards against the late answer to an earlier request that is read as the answer to the next one.
+	It("skips answers that the attempt does not expect, and uses the connection no further", func() {
+		s := serve(func(n int, _ string, c net.Conn) bool {
+			if n == 1 {
+				_, _ = fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nFor: other\r\n\r\nold")
+			}
+			return answer(c, "own")
+		})
+		a := upstream.Attempt{Address: s.address, Idempotent: true, Expects: func(h *fasthttp.ResponseHeader) bool { return len(h.Peek("For")) == 0 }}
+		Expect(transport.RoundTrip(ctx, a, request("GET", "/"), resp)).To(Succeed())
+		Expect(string(resp.Body())).To(Equal("own"))
+		Expect(get(s)).To(Succeed())
+		Expect(s.connections.Load()).To(BeEquivalentTo(2))
+	})
+
 	// Guards against a caller that left while its call still holds a backend server's slot.
 	It("closes the connection when the context ends", func() {
 		arrived := make(chan struct{})
