--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -11,63 +11,73 @@
 // fault is one disturbance. It plays to its end and returns; others may overlap.
 type fault struct {
 	name string
-	// planned work excuses nothing.
-	planned bool
-	play    func(ctx context.Context, w *world, pick int)
+	play func(ctx context.Context, w *world, pick int)
 }
 
 // faults lists what the soak plays. pick is a random number that chooses the victim.
 var faults = []fault{
-	{"vm.kill", false, func(ctx context.Context, w *world, pick int) {
+	{"vm.kill", func(ctx context.Context, w *world, pick int) {
 		v := w.vms[pick%len(w.vms)]
-		if v.claim() {
+		if end, ok := w.claim(v); ok {
+			defer end()
 			v.current().Kill()
 			pause(ctx, 200*time.Millisecond)
 			w.restart(v)
 		}
 	}},
-	{"vm.kill.half", false, func(ctx context.Context, w *world, pick int) {
+	{"vm.kill.half", func(ctx context.Context, w *world, pick int) {
 		for i, v := range w.vms {
-			if i%2 == pick%2 && v.claim() {
+			if i%2 != pick%2 {
+				continue
+			}
+			if end, ok := w.claim(v); ok {
 				v.current().Kill()
+				defer end()
 				defer w.restart(v)
 			}
 		}
 		pause(ctx, time.Second)
 	}},
-	{"vm.pause", false, func(ctx context.Context, w *world, pick int) {
+	{"vm.pause", func(ctx context.Context, w *world, pick int) {
 		v := w.vms[pick%len(w.vms)]
-		if v.claim() {
+		if end, ok := w.claim(v); ok {
+			defer end()
 			_ = v.current().Pause()
 			pause(ctx, 2500*time.Millisecond)
 			_ = v.current().Resume()
 			v.release()
 		}
 	}},
-	{"vm.stop", true, func(ctx context.Context, w *world, pick int) { w.stop(ctx, w.vms[pick%len(w.vms)]) }},
-	{"vm.cut", false, func(ctx context.Context, w *world, pick int) {
-		p := w.vms[pick%len(w.vms)].store
+	{"vm.stop", func(ctx context.Context, w *world, pick int) { w.stop(ctx, w.vms[pick%len(w.vms)]) }},
+	{"vm.cut", func(ctx context.Context, w *world, pick int) {
+		v := w.vms[pick%len(w.vms)]
+		defer w.judge.disturb(v.name)()
+		p := v.store
 		p.set([]mode{silence, oneWay, refuse, delay}[pick/len(w.vms)%4])
 		pause(ctx, 3*time.Second)
 		p.set(pass)
 		p.reset()
 	}},
-	{"store.down", false, func(ctx context.Context, w *world, _ int) {
+	{"store.down", func(ctx context.Context, w *world, _ int) {
 		w.storeFault(ctx, logservice.Faults{Down: true}, 3500*time.Millisecond)
 	}},
-	{"store.silent", false, func(ctx context.Context, w *world, _ int) {
+	{"store.silent", func(ctx context.Context, w *world, _ int) {
 		w.storeFault(ctx, logservice.Faults{Unreachable: true}, 3*time.Second)
 	}},
-	{"store.slow", false, func(ctx context.Context, w *world, _ int) {
+	{"store.slow", func(ctx context.Context, w *world, _ int) {
 		w.storeFault(ctx, logservice.Faults{DelayMillis: 250}, 3*time.Second)
 	}},
-	{"store.compact", false, func(_ context.Context, w *world, _ int) { w.store.Compact(topicServers); w.store.Compact(topicConfig) }},
-	{"server.crash", false, func(_ context.Context, w *world, pick int) {
+	{"store.compact", func(_ context.Context, w *world, _ int) {
+		w.judge.disturb(everyVM)()
+		w.store.Compact(topicServers)
+		w.store.Compact(topicConfig)
+	}},
+	{"server.crash", func(_ context.Context, w *world, pick int) {
 		if s := w.pickServer(pick); s != nil {
 			w.endServer(s, false)
 		}
 	}},
-	{"server.misbehave", false, func(ctx context.Context, w *world, pick int) {
+	{"server.misbehave", func(ctx context.Context, w *world, pick int) {
 		s := w.pickServer(pick)
 		if s == nil {
 			return
@@ -76,7 +86,7 @@
 		pause(ctx, 3*time.Second)
 		s.SetFaults(platformserver.Faults{})
 	}},
-	{"server.link", false, func(ctx context.Context, w *world, pick int) {
+	{"server.link", func(ctx context.Context, w *world, pick int) {
 		s := w.pickServer(pick)
 		if s == nil {
 			return
@@ -86,9 +96,9 @@
 		s.proxy.set(pass)
 		s.proxy.reset()
 	}},
-	{"server.reuse", false, func(ctx context.Context, w *world, pick int) { w.reuseAddress(ctx, pick) }},
-	{"server.drain", true, func(ctx context.Context, w *world, pick int) { w.drain(ctx, pick) }},
-	{"config.change", true, func(_ context.Context, w *world, pick int) {
+	{"server.reuse", func(ctx context.Context, w *world, pick int) { w.reuseAddress(ctx, pick) }},
+	{"server.drain", func(ctx context.Context, w *world, pick int) { w.drain(ctx, pick) }},
+	{"config.change", func(_ context.Context, w *world, pick int) {
 		w.mu.Lock()
 		i := pick % len(routes)
 		w.routed[i] = 1 - w.routed[i]
@@ -104,6 +114,14 @@
 	}
 }
 
+// claim takes a running VM for a fault that disturbs it until end is called.
+func (w *world) claim(v *vm) (end func(), ok bool) {
+	if !v.claim() {
+		return nil, false
+	}
+	return w.judge.disturb(v.name), true
+}
+
 // claim takes a running VM for one fault.
 func (v *vm) claim() bool {
 	v.mu.Lock()
@@ -122,6 +140,7 @@
 }
 
 func (w *world) restart(v *vm) {
+	defer w.judge.disturb(v.name)()
 	v.release()
 	if err := v.start(w.bin); err != nil {
 		w.judge.fail("start %s again: %v", v.name, err)
@@ -150,6 +169,7 @@
 }
 
 func (w *world) storeFault(ctx context.Context, f logservice.Faults, d time.Duration) {
+	defer w.judge.disturb(everyVM)()
 	if w.store.SetFaults(f) == nil {
 		pause(ctx, d)
 		// The zero value is valid.
--- a/internal/lab/soak/judge.go
+++ b/internal/lab/soak/judge.go
@@ -26,7 +26,7 @@
 	id, vm string
 	route  int
 	sent   time.Time
-	calm   bool // nothing was disturbed from calmBefore the request on
+	calm   bool // its VM was calm when it was sent
 	runs   []string
 	status int // 0: no answer
 }
@@ -40,11 +40,19 @@
 	changes [][]change
 	// leaving are the times at which the store knew that a server leaves.
 	leaving map[string]time.Time
-	// disturbed is the end of the last disturbance; while one goes on, disturbances is above 0.
-	disturbed    time.Time
-	disturbances int
-	answered     int
-	outcomes     map[int]int
+	// disturbed holds what was last done to each VM, and to all under everyVM.
+	disturbed map[string]*disturbance
+	answered  int
+	outcomes  map[int]int
+}
+
+// everyVM stands for disturbances of the store.
+const everyVM = ""
+
+// disturbance is the number of those going on and the end of the last one.
+type disturbance struct {
+	count int
+	end   time.Time
 }
 
 type change struct {
@@ -53,29 +61,40 @@
 }
 
 func newJudge() *judge {
-	return &judge{requests: map[string]*request{}, changes: make([][]change, len(routes)), leaving: map[string]time.Time{}, outcomes: map[int]int{}}
+	return &judge{requests: map[string]*request{}, changes: make([][]change, len(routes)), leaving: map[string]time.Time{},
+		disturbed: map[string]*disturbance{}, outcomes: map[int]int{}}
 }
 
 func (j *judge) breaks(format string, args ...any) {
 	j.broken = append(j.broken, time.Now().Format("15:04:05.000 ")+fmt.Sprintf(format, args...))
 }
 
-// disturb notes the begin of a disturbance and returns its end.
-func (j *judge) disturb() (end func()) {
+// disturb notes the begin of a disturbance of a VM, or of everyVM, and returns its end.
+func (j *judge) disturb(vm string) (end func()) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	j.disturbances++
+	d := j.disturbed[vm]
+	if d == nil {
+		d = &disturbance{}
+		j.disturbed[vm] = d
+	}
+	d.count++
 	return func() {
 		j.mu.Lock()
 		defer j.mu.Unlock()
-		j.disturbances--
-		j.disturbed = time.Now()
+		d.count--
+		d.end = time.Now()
 	}
 }
 
-// calm reports whether nothing was disturbed lately.
-func (j *judge) calm(now time.Time) bool {
-	return j.disturbances == 0 && now.Sub(j.disturbed) > calmBefore
+// calm reports whether neither the VM nor the store was disturbed lately. What servers do disturbs no VM.
+func (j *judge) calm(vm string, now time.Time) bool {
+	for _, name := range []string{vm, everyVM} {
+		if d := j.disturbed[name]; d != nil && (d.count > 0 || now.Sub(d.end) <= calmBefore) {
+			return false
+		}
+	}
+	return true
 }
 
 // configured notes the services of the routes from now on.
@@ -97,7 +116,7 @@
 func (j *judge) begin(r *request) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	r.calm = j.calm(r.sent)
+	r.calm = j.calm(r.vm, r.sent)
 	j.requests[r.id] = r
 }
 
@@ -122,7 +141,7 @@
 		j.breaks("ROUTE: %s of %s ran at %s", id, routes[r.route].name, s.Service)
 	}
 	j.checkConfig(r, s)
-	if at, leaving := j.leaving[s.ID]; leaving && r.calm && j.calm(now) && now.Sub(at) > drainBound && r.sent.Sub(at) > drainBound {
+	if at, leaving := j.leaving[s.ID]; leaving && r.calm && j.calm(r.vm, now) && now.Sub(at) > drainBound && r.sent.Sub(at) > drainBound {
 		j.breaks("DRAIN: %s reached %s %v after it was known to leave", id, s.ID, now.Sub(at).Round(time.Millisecond))
 	}
 }
@@ -165,7 +184,7 @@
 	if refusal(status) && routes[r.route].kind == "unsafe" && len(r.runs) > 0 {
 		j.breaks("REFUSED: %s was answered %d and ran on %v", r.id, status, r.runs)
 	}
-	if took > routeTimeout+timeoutSlack && r.calm && j.calm(time.Now()) {
+	if took > routeTimeout+timeoutSlack && r.calm && j.calm(r.vm, time.Now()) {
 		j.breaks("TIMEOUT: %s took %v", r.id, took.Round(time.Millisecond))
 	}
 }
@@ -175,7 +194,7 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.outcomes[0]++
-	if (planned || r.calm && j.calm(time.Now())) && len(r.runs) > 0 {
+	if (planned || r.calm && j.calm(r.vm, time.Now())) && len(r.runs) > 0 {
 		j.breaks("LOST: %s ran on %v and its connection to %s ended without an answer (planned stop %t)", r.id, r.runs, r.vm, planned)
 	}
 }
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -122,9 +122,6 @@
 		running.Add(1)
 		go func() {
 			defer running.Done()
-			if !f.planned {
-				defer w.judge.disturb()()
-			}
 			f.play(ctx, w, pick)
 		}()
 		pause(ctx, time.Duration(w.random.Int64N(int64(2*gapMean))))
