--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -14,6 +14,9 @@
 	play func(ctx context.Context, w *world, pick int)
 }
 
+// kinds divides the number that picks a victim, so that the kind of a fault does not depend on the victim.
+const kinds = 256
+
 // faults lists what the soak plays. pick is a random number that chooses the victim.
 var faults = []fault{
 	{"vm.kill", func(ctx context.Context, w *world, pick int) {
@@ -53,7 +56,7 @@
 		v := w.vms[pick%len(w.vms)]
 		defer w.judge.disturb(v.name)()
 		p := v.store
-		p.set([]mode{silence, oneWay, refuse, delay}[pick/len(w.vms)%4])
+		p.set([]mode{silence, oneWay, refuse, delay}[pick/kinds%4])
 		pause(ctx, 3*time.Second)
 		p.set(pass)
 		p.reset()
@@ -82,7 +85,7 @@
 		if s == nil {
 			return
 		}
-		s.SetFaults([]platformserver.Faults{{Slowness: 5}, {Lost: 0.3}, {Cut: 0.3}, {Twice: 0.3}, {Unsigned: 0.3}, {Failed: 0.5}, {Early: 0.5}, {Hang: true}}[pick%8])
+		s.SetFaults([]platformserver.Faults{{Slowness: 5}, {Lost: 0.3}, {Cut: 0.3}, {Twice: 0.3}, {Unsigned: 0.3}, {Failed: 0.5}, {Early: 0.5}, {Hang: true}}[pick/kinds%8])
 		pause(ctx, 3*time.Second)
 		s.SetFaults(platformserver.Faults{})
 	}},
@@ -91,7 +94,7 @@
 		if s == nil {
 			return
 		}
-		s.proxy.set([]mode{silence, oneWay, delay, pass}[pick%4])
+		s.proxy.set([]mode{silence, oneWay, delay, pass}[pick/kinds%4])
 		pause(ctx, 2*time.Second)
 		s.proxy.set(pass)
 		s.proxy.reset()
--- a/internal/lab/soak/judge.go
+++ b/internal/lab/soak/judge.go
@@ -194,6 +194,12 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.outcomes[0]++
+	if took := time.Since(r.sent); took > routeTimeout+timeoutSlack {
+		if r.calm && j.calm(r.vm, time.Now()) {
+			j.breaks("TIMEOUT: %s got no answer from %s in %v", r.id, r.vm, took.Round(time.Millisecond))
+		}
+		return
+	}
 	if (planned || r.calm && j.calm(r.vm, time.Now())) && len(r.runs) > 0 {
 		j.breaks("LOST: %s ran on %v and its connection to %s ended without an answer (planned stop %t)", r.id, r.runs, r.vm, planned)
 	}
--- a/pkg/directory/types.go
+++ b/pkg/directory/types.go
@@ -33,6 +33,11 @@
 	VMs
 )
 
+var topicNames = [...]string{"configuration", "servers", "vms"}
+
+// String returns the name used in logs.
+func (t Topic) String() string { return topicNames[t] }
+
 // Record is one record of a topic. The newest one of each key counts.
 type Record struct {
 	Key string
--- a/pkg/entryvm/life.go
+++ b/pkg/entryvm/life.go
@@ -22,7 +22,7 @@
 	// maintainInterval is how often shares that depend on the number of VMs are worked out again.
 	maintainInterval = time.Second
 	// stopMargin is the time before the end of the stop time at which the process ends, whatever is in flight.
-	stopMargin = 250 * time.Millisecond
+	stopMargin = 400 * time.Millisecond
 	// refuseMargin is the time before the end of the stop time from which no further requests are taken, so that those taken
 	// before can end.
 	refuseMargin = 2800 * time.Millisecond
@@ -62,15 +62,17 @@
 
 // maxConnections is this VM's share of the connections of a backend server.
 func (v *vm) maxConnections(string) int {
-	limit := defaultConnections
+	limit := 0
 	if table := v.state.Table(); table != nil {
-		limit = 0
 		for _, service := range table.Services {
 			if service.MaxConnections > 0 && (limit == 0 || service.MaxConnections < limit) {
 				limit = service.MaxConnections
 			}
 		}
 	}
+	if limit == 0 {
+		limit = defaultConnections
+	}
 	return max(leastConnection, int(connectionUse*float64(limit))/v.sharer.VMs())
 }
 
--- a/pkg/prober/prober.go
+++ b/pkg/prober/prober.go
@@ -167,14 +167,14 @@
 	now := p.Clock.Now()
 	if err != nil {
 		probeFailures.Inc()
-		klog.V(1).InfoS("server did not answer a probe", "server", s.ID, "address", s.Address, "err", err)
+		klog.InfoS("server did not answer a probe", "server", s.ID, "address", s.Address, "err", err)
 		p.pause(key, now.Add(failurePause))
 		return
 	}
 	id, figure := p.Figures.Probed(&resp.Header)
 	if id != s.ID || figure == nil {
 		probeFailures.Inc()
-		klog.V(1).InfoS("probe was answered without a figure", "server", s.ID, "answeredBy", id, "status", resp.StatusCode())
+		klog.InfoS("probe was answered without a figure", "server", s.ID, "answeredBy", id, "status", resp.StatusCode())
 		p.pause(key, now.Add(failurePause))
 		return
 	}
