--- a/pkg/preset/cluster_test.go
+++ b/pkg/preset/cluster_test.go
@@ -256,7 +256,8 @@
 func (c *cluster) list(ids ...string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.listed = ids
+	// The caller goes on using its array.
+	c.listed = append([]string(nil), ids...)
 }
 
 func (c *cluster) cut(n *node, cut bool) {
