Tell VMs of others with their places; duties to large VMs; changes by relays

By reading: a VM greeted every address that it learnt with each of its first heartbeats, and each VM heard for the first time asked for another heartbeat to all, across both regions.

Change: - VMs are told of with data centre, capacity and the age of their last sign of life. Only VMs of the group get every heartbeat; two VMs of each other data centre get one a second, two of other regions one in 10 s.

--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -105,7 +105,7 @@
 	servers []*server
 	// slowness is the mean of the figures.
 	slowness float64
-	// urgentAt is when a request with a short objective was last served.
+	// urgentAt is when a request whose objective is short for its work was last served.
 	urgentAt time.Time
 }
 
@@ -166,7 +166,7 @@
 	if svc == nil {
 		return Choice{}, false
 	}
-	if r.Objective <= urgentObjective {
+	if r.Objective <= urgentWorks*r.Work {
 		svc.urgentAt = now
 	}
 	best, bestCost := (*server)(nil), 0.0
@@ -345,7 +345,8 @@
 	return 0
 }
 
-// Urgent reports whether this VM has lately served requests of a service that have a short objective.
+// Urgent reports whether this VM has lately served requests of a service whose objective is short
+// for their work.
 func (b *Balancer) Urgent(name string, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/pkg/balance/cost.go
+++ b/pkg/balance/cost.go
@@ -6,9 +6,10 @@
 )
 
 const (
-	// urgentObjective is the longest objective for which fresh figures matter, and urgentMemory how long a request counts.
-	urgentObjective = 500 * time.Millisecond
-	urgentMemory    = 2 * time.Second
+	// urgentWorks is the longest objective, in usual works of a request, for which fresh figures matter: a longer one is met on
+	// a slow server too. urgentMemory is how long a request counts.
+	urgentWorks  = 5
+	urgentMemory = 2 * time.Second
 	// initialSlowness stands for servers of which nothing was heard yet.
 	initialSlowness = 1.3
 	// meanWeight is the weight of one figure in the mean of a service.
--- a/pkg/directory/directory_test.go
+++ b/pkg/directory/directory_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -121,11 +122,20 @@
 	rank      int
 	seeds     []string
 	snapshots map[string]Snapshot
+	// follows says that others of the data centre fetch what is new, near are the VMs of the data centre.
+	follows  bool
+	near     []string
+	hastened int
 }
 
 func (p *fakePeers) Rank() int       { return p.rank }
 func (p *fakePeers) Alone() bool     { return len(p.seeds) == 0 }
 func (p *fakePeers) Seeds() []string { return p.seeds }
+func (p *fakePeers) Relays() bool    { return !p.follows }
+func (p *fakePeers) Hasten()         { p.hastened++ }
+func (p *fakePeers) Near(address string) bool {
+	return slices.Contains(p.near, address)
+}
 func (p *fakePeers) Snapshot(_ context.Context, address string, _ Known) (Snapshot, error) {
 	snap, ok := p.snapshots[address]
 	if !ok {
@@ -392,4 +402,49 @@
 		follower.Observe("ahead", Digest{ConfigVersion: 4})
 		Expect(follower.later).To(HaveLen(1))
 	})
+
+	// Guards against a power loss of a large region after which every VM reads the whole store over the link between regions.
+	It("leaves the first reading after a start to the VMs before it", func() {
+		follower = NewFollower(now, state, store, peers, false, func(Batch) {})
+		follower.self, follower.started = "self", now.Now()
+		peers.seeds, peers.rank = []string{"other"}, 3
+		read()
+		pass(300 * time.Millisecond)
+		Expect(state.Known()).To(BeFalse())
+		pass(500 * time.Millisecond)
+		Expect(state.Known()).To(BeTrue(), "the VMs before it do not tell")
+	})
+
+	// Guards against changes that wait for the next heartbeat of the VM that has read them.
+	It("tells at once what it has read, and nothing if that is nothing new", func() {
+		read()
+		Expect(peers.hastened).To(Equal(1))
+		pass(1100 * time.Millisecond)
+		Expect(peers.hastened).To(Equal(1))
+		store.put(Configuration, "config", []byte("5"))
+		pass(1100 * time.Millisecond)
+		Expect(peers.hastened).To(Equal(2))
+	})
+
+	// Guards against all VMs of a data centre that fetch a change from the reader in another one.
+	It("asks a VM of its data centre if others fetch for it, and the reader if none of them tells in time", func() {
+		peers.follows, peers.near = true, []string{"near"}
+		follower.later <- "reader2"
+		follower.later <- "near"
+		Expect(follower.awaitNear(context.Background(), "reader")).To(Equal("near"))
+		follower.later <- "reader"
+		follower.later <- "near"
+		Expect(follower.pickLater("reader")).To(Equal("near"))
+		done := make(chan string)
+		go func() { done <- follower.awaitNear(context.Background(), "reader") }()
+		Eventually(func() bool {
+			now.Advance(relayWait)
+			select {
+			case picked := <-done:
+				return picked == "reader"
+			default:
+				return false
+			}
+		}).Should(BeTrue())
+	})
 })
--- a/pkg/directory/follower.go
+++ b/pkg/directory/follower.go
@@ -9,6 +9,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
+	"github.com/samber/lo"
 	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 
@@ -43,8 +44,10 @@
 	askVMsInterval = 5 * time.Second
 	// checkInterval is how often the age is looked at.
 	checkInterval = 20 * time.Millisecond
-	// spreadTime is the time within which the VMs that are behind ask one that is not.
-	spreadTime = 120 * time.Millisecond
+	// spreadTime is the time within which the VMs that are behind ask one that is not, and relayWait how long a VM whose data
+	// centre has others for that waits until one of them has it.
+	spreadTime = 60 * time.Millisecond
+	relayWait  = 250 * time.Millisecond
 	// handOnTimeout bounds the transfer of a snapshot between two VMs.
 	handOnTimeout = 500 * time.Millisecond
 )
@@ -59,6 +62,12 @@
 type Peers interface {
 	// Rank returns the number of live VMs of the region that read the store before this one.
 	Rank() int
+	// Relays reports whether this VM fetches what is new from other data centres.
+	Relays() bool
+	// Near reports whether the VM at an address is in the data centre of this one.
+	Near(address string) bool
+	// Hasten tells the other VMs at once what this one knows.
+	Hasten()
 	// Snapshot asks another VM for what it knows beyond known.
 	Snapshot(ctx context.Context, address string, known Known) (Snapshot, error)
 	// Alone reports whether no other VM of the region is heard.
@@ -139,17 +148,20 @@
 	}
 	age, ok := f.state.Age()
 	if !ok {
-		return f.seeded() || f.clock.Now().Sub(f.started) >= f.startWait
+		passed := f.clock.Now().Sub(f.started)
+		return f.seeded() || passed >= f.startWait && passed >= f.startWait+f.standby()
 	}
-	if age < readInterval {
-		return false
-	}
-	limit := readInterval
-	if rank := f.peers.Rank(); rank > 0 {
-		near := min(rank-1, firstReaders)
-		limit += standbyDelay + min(standbyMax, time.Duration(near)*standbyStep+time.Duration(rank-1-near)*farStep)
+	return age >= readInterval && age >= readInterval+f.standby()
+}
+
+// standby is how long this VM leaves the reading to those before it.
+func (f *Follower) standby() time.Duration {
+	rank := f.peers.Rank()
+	if rank <= 0 {
+		return 0
 	}
-	return age >= limit
+	near := min(rank-1, firstReaders)
+	return standbyDelay + min(standbyMax, time.Duration(near)*standbyStep+time.Duration(rank-1-near)*farStep)
 }
 
 // seeded reports whether the others wait for this VM to read the store first, or there are no others.
@@ -166,7 +178,7 @@
 
 // read brings the state up to date from the store.
 func (f *Follower) read(ctx context.Context) {
-	started := f.clock.Now()
+	started, before := f.clock.Now(), f.state.Digest()
 	callCtx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	err := f.readAll(callCtx)
@@ -177,6 +189,9 @@
 		}
 		f.failures, f.nextTry = 0, time.Time{}
 		f.lastRead.Store(f.clock.Now().UnixNano())
+		if f.state.Digest().later(before) {
+			f.peers.Hasten()
+		}
 		return
 	}
 	storeFailures.Inc()
@@ -278,6 +293,9 @@
 		case <-ctx.Done():
 			return
 		case first := <-f.later:
+			if !f.peers.Relays() {
+				first = f.awaitNear(ctx, first)
+			}
 			if f.state.Known() {
 				f.wait(ctx, time.Duration(rand.Int64N(int64(spreadTime))))
 			}
@@ -293,23 +311,37 @@
 	}
 }
 
-// pickLater returns first or one of the VMs that wait to be asked, and drops the others: those that still know more after
-// the answer tell again.
-func (f *Follower) pickLater(first string) string {
-	picked, seen := first, 1
-	for {
+// awaitNear returns the first VM of this data centre that tells, or the given one if none does in time.
+func (f *Follower) awaitNear(ctx context.Context, first string) string {
+	late := f.clock.After(relayWait)
+	for next := first; ; {
+		if f.peers.Near(next) {
+			return next
+		}
 		select {
-		case address := <-f.later:
-			seen++
-			if rand.IntN(seen) == 0 {
-				picked = address
-			}
-		default:
-			return picked
+		case <-ctx.Done():
+			return first
+		case <-late:
+			return first
+		case next = <-f.later:
 		}
 	}
 }
 
+// pickLater returns first or one of the VMs that wait to be asked, one of this data centre if there are any, and drops the
+// others: those that still know more after the answer tell again.
+func (f *Follower) pickLater(first string) string {
+	told := []string{first}
+	for len(f.later) > 0 {
+		told = append(told, <-f.later)
+	}
+	near := lo.Filter(told, func(address string, _ int) bool { return f.peers.Near(address) })
+	if len(near) > 0 {
+		told = near
+	}
+	return told[rand.IntN(len(told))]
+}
+
 func (f *Follower) ask(ctx context.Context, address string) bool {
 	ctx, cancel := context.WithTimeout(ctx, handOnTimeout)
 	defer cancel()
@@ -321,5 +353,8 @@
 	}
 	handOns.Inc()
 	f.state.Adopt(snap, address)
+	if f.state.Digest().later(d) && f.peers.Relays() {
+		f.peers.Hasten()
+	}
 	return snap.ConfigVersion > 0
 }
--- a/pkg/directory/snapshot.go
+++ b/pkg/directory/snapshot.go
@@ -3,17 +3,19 @@
 import (
 	"bytes"
 	"compress/gzip"
+	"encoding/json"
 	"io"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"k8s.io/klog/v2"
 )
 
 const (
 	// keptRemovals is the number of removed servers that are remembered for VMs that are behind.
 	keptRemovals = 512
-	// maxConfiguration bounds an uncompressed configuration in bytes.
-	maxConfiguration = 16 << 20
+	// maxUnpacked bounds an uncompressed configuration, or the servers, in bytes.
+	maxUnpacked = 16 << 20
 )
 
 // history knows at which revision each server changed, so that a VM that is a little behind is sent the changes only.
@@ -52,31 +54,65 @@
 	if known.ServersRevision >= snap.ServersRevision {
 		return snap
 	}
-	if known.ServersRevision > 0 && known.ServersRevision >= s.history.floor {
-		snap.Since = known.ServersRevision
-		for id, revision := range s.history.removed {
-			if revision > snap.Since {
-				snap.Removed = append(snap.Removed, id)
-			}
-		}
-	}
-	for id, server := range s.servers {
-		if snap.Since > 0 && s.history.changed[id] <= snap.Since {
-			continue
-		}
-		copied := *server
-		copied.WarmUpMillis = max(0, server.WarmUntil.Sub(now).Milliseconds())
-		snap.Servers = append(snap.Servers, copied)
-	}
 	for id, until := range s.lapsed {
 		if snap.Lapsed == nil {
 			snap.Lapsed = map[string]int64{}
 		}
 		snap.Lapsed[id] = max(0, until.Sub(now).Milliseconds())
 	}
+	if known.ServersRevision == 0 || known.ServersRevision < s.history.floor {
+		snap.All = s.packAll(now)
+		return snap
+	}
+	snap.Since = known.ServersRevision
+	for id, revision := range s.history.removed {
+		if revision > snap.Since {
+			snap.Removed = append(snap.Removed, id)
+		}
+	}
+	for id, server := range s.servers {
+		if s.history.changed[id] > snap.Since {
+			snap.Servers = append(snap.Servers, server.told(now))
+		}
+	}
 	return snap
 }
 
+// told returns the server with the time for which it stays slow from now on.
+func (s *Server) told(now time.Time) Server {
+	copied := *s
+	copied.WarmUpMillis = max(0, s.WarmUntil.Sub(now).Milliseconds())
+	return copied
+}
+
+// packedLife is the time for which all servers are packed once. The time for which servers stay slow is late by as much.
+const packedLife = 300 * time.Millisecond
+
+// packedServers are all servers of a revision as JSON, compressed, because many VMs ask for them after a power loss.
+type packedServers struct {
+	data     []byte
+	revision int64
+	at       time.Time
+}
+
+func (s *State) packAll(now time.Time) []byte {
+	p := &s.packed
+	if p.data != nil && p.revision == s.digest.ServersRevision && now.Sub(p.at) < packedLife {
+		return p.data
+	}
+	all := make([]Server, 0, len(s.servers))
+	for _, server := range s.servers {
+		all = append(all, server.told(now))
+	}
+	data, err := json.Marshal(all)
+	if err != nil {
+		klog.ErrorS(err, "servers not encoded for another VM")
+		return nil
+	}
+	*p = packedServers{data: compress(data), revision: s.digest.ServersRevision, at: now}
+	return p.data
+}
+
 // Adopt takes over what another VM knows, where that is later.
 func (s *State) Adopt(snap Snapshot, from string) {
 	s.mu.Lock()
@@ -100,6 +136,14 @@
 
 func (s *State) adoptServers(snap Snapshot, now time.Time, from string) {
 	if snap.Since == 0 {
+		if len(snap.All) > 0 {
+			all, err := unpackAll(snap.All)
+			if err != nil {
+				klog.InfoS("servers of another VM ignored", "vm", from, "err", err)
+				return
+			}
+			snap.Servers = all
+		}
 		s.servers = make(map[string]*Server, len(snap.Servers))
 		s.history = newHistory(snap.ServersRevision)
 	}
@@ -122,6 +166,14 @@
 	s.publish()
 }
 
+func unpackAll(packed []byte) (all []Server, err error) {
+	data, err := decompress(packed)
+	if err == nil {
+		err = json.Unmarshal(data, &all)
+	}
+	return all, errors.Wrap(err, "unpack servers")
+}
+
 // compress returns data in gzip. Writing to a buffer cannot fail.
 func compress(data []byte) []byte {
 	var b bytes.Buffer
@@ -136,5 +188,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return io.ReadAll(io.LimitReader(r, maxConfiguration))
+	return io.ReadAll(io.LimitReader(r, maxUnpacked))
 }
--- a/pkg/directory/state.go
+++ b/pkg/directory/state.go
@@ -45,6 +45,7 @@
 	servers      map[string]*Server
 	lapsed       map[string]time.Time // until when a server without an entry is still used
 	history      history
+	packed       packedServers
 	digest       Digest
 	confirmed    time.Time       // when the store held what is known here; zero: never
 	graceUntil   time.Time       // lapsed entries come back until then
@@ -275,7 +276,7 @@
 func (s *State) Observe(d Digest) (later bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if d.ConfigVersion > s.digest.ConfigVersion || d.ServersRevision > s.digest.ServersRevision {
+	if d.later(s.digest) {
 		return true
 	}
 	if d.ConfigVersion == s.digest.ConfigVersion && d.ServersRevision == s.digest.ServersRevision {
--- a/pkg/directory/types.go
+++ b/pkg/directory/types.go
@@ -120,6 +120,11 @@
 	AgeMillis, Reader, Reading int64
 }
 
+// later reports whether d knows something that before did not.
+func (d Digest) later(before Digest) bool {
+	return d.ConfigVersion > before.ConfigVersion || d.ServersRevision > before.ServersRevision
+}
+
 // Known is what a VM that asks for a snapshot knows already.
 type Known struct {
 	ConfigVersion   int64 `json:"configVersion"`
@@ -133,7 +138,9 @@
 	// has it.
 	ConfigKey    string `json:"configKey,omitempty"`
 	ConfigRecord []byte `json:"configRecord,omitempty"`
-	// Since is the revision of the servers from which on Servers and Removed tell the changes; 0: Servers are all.
+	// Since is the revision of the servers from which on Servers and Removed tell the changes; 0: they are all. All are
+	// Servers as compressed JSON where there are many.
+	All     []byte   `json:"all,omitempty"`
 	Since   int64    `json:"since,omitempty"`
 	Servers []Server `json:"servers,omitempty"`
 	Removed []string `json:"removed,omitempty"`
--- a/pkg/entryvm/settings.go
+++ b/pkg/entryvm/settings.go
@@ -26,6 +26,8 @@
 	FirstStart bool
 	// Regions maps data centres to regions.
 	Regions map[string]string
+	// Capacity is how much work this VM can take in comparison to others. Zero: not told.
+	Capacity int
 	// StopTime is the time from the stop signal to the end of the process. Default 6s.
 	StopTime time.Duration
 	// RetryShare and RetrySlack bound the second sends of all entry VMs to a service: a share of its requests, and a number
--- a/pkg/entryvm/vm.go
+++ b/pkg/entryvm/vm.go
@@ -108,7 +108,8 @@
 		return directory.NewState(system, p.Codec, b.SetServers), nil
 	})
 	do.Provide(i, func(i do.Injector) (*loadshare.Sharer, error) {
-		return loadshare.New(loadshare.Options{Clock: system, VM: s.VM, DataCentre: s.DataCentre, Region: s.Region, Conn: l.datagrams,
+		return loadshare.New(loadshare.Options{Clock: system, VM: s.VM, DataCentre: s.DataCentre, Region: s.Region, Capacity: s.Capacity,
+			Regions: s.Regions, Conn: l.datagrams,
 			Balancer: do.MustInvoke[*balance.Balancer](i), Digest: do.MustInvoke[*directory.State](i).Digest,
 			Reads:   func() bool { return v.follower.Reads() },
 			Observe: func(address string, d directory.Digest) { v.follower.Observe(address, d) }}), nil
@@ -121,7 +122,7 @@
 	do.Provide(i, func(i do.Injector) (*prober.Prober, error) {
 		return prober.New(prober.Options{Clock: system, Figures: p.Dialect, State: do.MustInvoke[*directory.State](i),
 			Balancer: do.MustInvoke[*balance.Balancer](i), Servers: do.MustInvoke[*upstream.Transport](i),
-			Assigned: v.probes, Tell: do.MustInvoke[*loadshare.Sharer](i).Tell}), nil
+			Assigned: v.probes, Tell: do.MustInvoke[*loadshare.Sharer](i).TellFigure}), nil
 	})
 	do.Provide(i, func(i do.Injector) (*gateway.Gateway, error) {
 		return gateway.New(gateway.Options{Clock: system, Dialect: p.Dialect, State: do.MustInvoke[*directory.State](i),
@@ -148,11 +149,20 @@
 const methodSnapshot = "directory.snapshot"
 
 // Rank implements directory.Peers.
-func (v *vm) Rank() int { return v.sharer.Rank("read the store") }
+func (v *vm) Rank() int { return v.sharer.ReadRank() }
+
+// Relays implements directory.Peers.
+func (v *vm) Relays() bool { return v.sharer.Relays() }
+
+// Near implements directory.Peers.
+func (v *vm) Near(address string) bool { return v.sharer.Near(address) }
+
+// Hasten implements directory.Peers.
+func (v *vm) Hasten() { v.sharer.Hasten() }
 
 // probes reports whether this VM asks a server for its load.
 func (v *vm) probes(s *directory.Server) bool {
-	return s.Region == v.settings.Region && v.sharer.Assigned("probe "+s.ID, s.DataCentre)
+	return s.Region == v.settings.Region && v.sharer.Probes(s.ID, s.DataCentre)
 }
 
 // Alone implements directory.Peers.
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -88,7 +88,7 @@
 	if r.delivered {
 		g.work.learn(a.route, now.Sub(started), a.choice.Slowness, a.answerSize())
 	}
-	event := loadshare.Event{Key: key, Outcome: &r.outcome, Figure: answer.Figure}
+	event := loadshare.Event{Key: key, Outcome: &r.outcome, Figure: answer.Figure, FigureAt: now}
 	if answer.Figure != nil {
 		g.Balancer.Learn(key, *answer.Figure, now)
 	}
--- a/pkg/loadshare/message.go
+++ b/pkg/loadshare/message.go
@@ -1,6 +1,8 @@
-// Package loadshare tells the entry VMs of a region about each other's requests in flight and about what backend servers
-// say of themselves. Every begin and end of a request is a datagram to each VM of the region, so that all of them choose on
-// exact counts; a heartbeat repeats the counts for datagrams that were lost, and carries the age of what its sender knows.
+// Package loadshare tells the entry VMs of a group about each other's requests in flight and about what backend servers say
+// of themselves. The group is the region, or the data centre where a region has many VMs. Every begin and end of a request is
+// a datagram to each VM of the group, so that all of them choose on exact counts; a heartbeat repeats the counts for datagrams
+// that were lost, and carries the age of what its sender knows. VMs outside the group are known by what a few heartbeats and
+// the VMs of the group tell of them.
 package loadshare
 
 import (
@@ -17,7 +19,7 @@
 var ErrMessage = errors.New("unreadable datagram")
 
 // messageVersion is the first value of each datagram. Datagrams of other versions are dropped.
-const messageVersion = 1
+const messageVersion = 2
 
 // Event is the begin or end of a request at a server, or what a server said of itself.
 type Event struct {
@@ -26,16 +28,36 @@
 	Count int
 	// Outcome says how a request ended; nil for a begin.
 	Outcome *balance.Outcome
-	// Figure is what the server said with its answer, FigureAge ago; nil if it said nothing.
-	Figure    *balance.Figure
-	FigureAge time.Duration
+	// Figure is what the server said at FigureAt; nil if it said nothing.
+	Figure   *balance.Figure
+	FigureAt time.Time
+	// figureAge is what travels in place of FigureAt.
+	figureAge time.Duration
+}
+
+// age works out the age of the figure that the event travels with.
+func (e *Event) age(now time.Time) {
+	if e.Figure != nil {
+		e.figureAge = now.Sub(e.FigureAt)
+	}
+}
+
+// contact is what a VM tells of another one.
+type contact struct {
+	address    string
+	dataCentre string
+	// capacity is the VM's in units of its own choice; 0: not known.
+	capacity int
+	// age is the time since the VM was last heard, by whomever.
+	age time.Duration
 }
 
 // message is one datagram.
 type message struct {
-	// vm, dataCentre and region are the sender's name and place; start its start in Unix milliseconds, and sequence counts
-	// its datagrams.
+	// vm, dataCentre and region are the sender's name and place, capacity how much work it can take; start its start in Unix
+	// milliseconds, and sequence counts its datagrams.
 	vm, dataCentre, region string
+	capacity               int
 	start                  int64
 	sequence               uint64
 	// heartbeat says that counts are complete and that digest and known are set.
@@ -43,8 +65,8 @@
 	counts    map[balance.Key]int
 	events    []Event
 	digest    directory.Digest
-	// known are addresses of other VMs.
-	known []string
+	// known are other VMs.
+	known []contact
 }
 
 // Slowness travels in hundredths.
@@ -58,6 +80,7 @@
 	b = msgp.AppendString(b, m.vm)
 	b = msgp.AppendString(b, m.dataCentre)
 	b = msgp.AppendString(b, m.region)
+	b = msgp.AppendInt(b, m.capacity)
 	b = msgp.AppendInt64(b, m.start)
 	b = msgp.AppendUint64(b, m.sequence)
 	b = msgp.AppendBool(b, m.heartbeat)
@@ -77,8 +100,11 @@
 		b = msgp.AppendInt64(b, *v)
 	}
 	b = msgp.AppendArrayHeader(b, uint32(len(m.known)))
-	for _, address := range m.known {
-		b = msgp.AppendString(b, address)
+	for _, c := range m.known {
+		b = msgp.AppendString(b, c.address)
+		b = msgp.AppendString(b, c.dataCentre)
+		b = msgp.AppendInt(b, c.capacity)
+		b = msgp.AppendInt64(b, c.age.Milliseconds())
 	}
 	return b
 }
@@ -100,7 +126,7 @@
 		b = msgp.AppendInt(b, e.Figure.Running)
 		b = msgp.AppendInt(b, e.Figure.Waiting)
 		b = msgp.AppendInt(b, int(e.Figure.Slowness*slownessScale))
-		b = msgp.AppendInt64(b, e.FigureAge.Milliseconds())
+		b = msgp.AppendInt64(b, e.figureAge.Milliseconds())
 	}
 	return b
 }
@@ -136,8 +162,8 @@
 		return nil, errors.Wrapf(ErrMessage, "version %d", version)
 	}
 	m := &message{vm: decodeNext(d, msgp.ReadStringBytes), dataCentre: decodeNext(d, msgp.ReadStringBytes),
-		region: decodeNext(d, msgp.ReadStringBytes),
-		start:  decodeNext(d, msgp.ReadInt64Bytes), sequence: decodeNext(d, msgp.ReadUint64Bytes),
+		region: decodeNext(d, msgp.ReadStringBytes), capacity: decodeNext(d, msgp.ReadIntBytes),
+		start: decodeNext(d, msgp.ReadInt64Bytes), sequence: decodeNext(d, msgp.ReadUint64Bytes),
 		heartbeat: decodeNext(d, msgp.ReadBoolBytes)}
 	for range d.length(msgp.ReadArrayHeaderBytes) {
 		m.events = append(m.events, decodeEvent(d))
@@ -161,7 +187,9 @@
 		*field = decodeNext(d, msgp.ReadInt64Bytes)
 	}
 	for range d.length(msgp.ReadArrayHeaderBytes) {
-		m.known = append(m.known, decodeNext(d, msgp.ReadStringBytes))
+		m.known = append(m.known, contact{address: decodeNext(d, msgp.ReadStringBytes),
+			dataCentre: decodeNext(d, msgp.ReadStringBytes), capacity: decodeNext(d, msgp.ReadIntBytes),
+			age: time.Duration(decodeNext(d, msgp.ReadInt64Bytes)) * time.Millisecond})
 	}
 }
 
@@ -174,7 +202,7 @@
 	if decodeNext(d, msgp.ReadBoolBytes) {
 		e.Figure = &balance.Figure{Running: decodeNext(d, msgp.ReadIntBytes), Waiting: decodeNext(d, msgp.ReadIntBytes),
 			Slowness: float64(decodeNext(d, msgp.ReadIntBytes)) / slownessScale}
-		e.FigureAge = time.Duration(decodeNext(d, msgp.ReadInt64Bytes)) * time.Millisecond
+		e.figureAge = time.Duration(decodeNext(d, msgp.ReadInt64Bytes)) * time.Millisecond
 	}
 	return e
 }
--- a/pkg/loadshare/peers.go
+++ b/pkg/loadshare/peers.go
@@ -4,33 +4,35 @@
 	"net/netip"
 	"time"
 
+	"github.com/samber/lo"
 	"k8s.io/klog/v2"
-
-	"github.com/hornbeamway/hornbeamway/pkg/dispatch"
 )
 
 const (
-	// silentAfter is the time without a datagram after which the requests of a VM no longer count and it gets no events.
+	// silentAfter is the time without a datagram after which the requests of a VM of the group no longer count and it gets no
+	// events.
 	silentAfter = 700 * time.Millisecond
-	// forgetAfter is the time without a datagram after which a VM is forgotten.
+	// untoldAfter is the time without word of a VM outside the group, its own or another's, after which it counts as gone.
+	untoldAfter = 6 * time.Second
+	// restartTime is the least time from the last datagram of a VM that ends to the first one of its next start.
+	restartTime = 300 * time.Millisecond
+	// forgetAfter is the time without word after which a VM is forgotten.
 	forgetAfter = 2 * time.Minute
-	// silentRounds and farRounds are how many heartbeats pass between two that are sent to a silent VM, and to a VM of
-	// another region, which needs to know of this one only.
+	// silentRounds is how many heartbeats pass between two to a silent VM of the group.
 	silentRounds = 5
-	farRounds    = 50
+	// contacts is the number of VMs of each other data centre of the region that get every contactRounds-th heartbeat, and
+	// of the VMs of other regions that get every farRounds-th.
+	contacts      = 2
+	contactRounds = 5
+	farRounds     = 50
 	// largeRegion is the number of other VMs in a region from which they share counts within their data centres only.
 	largeRegion = 20
-	// nearRounds are the heartbeats between two that go to a VM of the region outside the group, unless this VM reads the
-	// store and the others need to hear of it.
-	nearRounds = 5
-	// greetTime is how long a VM that was learnt of gets every heartbeat.
+	// greetTime is how long an address that was learnt gets every heartbeat until its VM is heard.
 	greetTime = time.Second
-	// greetPause is the least time between two heartbeats.
-	greetPause = 15 * time.Millisecond
-	// sampleSize is the number of addresses of other VMs in a heartbeat, firstSample that within firstTime of the start.
-	sampleSize  = 4
-	firstSample = 40
-	firstTime   = 10 * time.Second
+	// sampleSize is the number of other VMs in every silentRounds-th heartbeat, replySize that in the answer to a VM that was
+	// heard for the first time.
+	sampleSize = 4
+	replySize  = 40
 	// maxPeers bounds the VMs that are remembered.
 	maxPeers = 4096
 )
@@ -40,12 +42,23 @@
 	address    netip.AddrPort
 	name       string
 	dataCentre string
-	region     string
-	start      int64
-	sequence   uint64
-	// added is when the address was learnt, heard the time of the last datagram; zero: none yet.
-	added, heard time.Time
-	live         bool
+	// region is empty until the VM or another one has told its place.
+	region   string
+	capacity int
+	start    int64
+	sequence uint64
+	// added is when the address was learnt, heard the time of the last datagram, and told that of the last one to any VM that
+	// told of it; zero: none yet.
+	added, heard, told time.Time
+	live               bool
+}
+
+// lastWord is the last sign of life that this VM knows of.
+func (p *peer) lastWord() time.Time {
+	if p.told.After(p.heard) {
+		return p.told
+	}
+	return p.heard
 }
 
 // Join adds addresses of VMs that may exist.
@@ -54,15 +67,19 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, text := range addresses {
-		address, err := netip.ParseAddrPort(text)
-		if err != nil {
-			klog.InfoS("address of a VM ignored", "address", text, "err", err)
-			continue
-		}
-		s.add(address, now)
+		s.addText(text, now)
 	}
 }
 
+func (s *Sharer) addText(text string, now time.Time) *peer {
+	address, err := netip.ParseAddrPort(text)
+	if err != nil {
+		klog.InfoS("address of a VM ignored", "address", text, "err", err)
+		return nil
+	}
+	return s.add(address, now)
+}
+
 func (s *Sharer) add(address netip.AddrPort, now time.Time) *peer {
 	p, ok := s.peers[address]
 	if ok || address == s.self || len(s.peers) >= maxPeers {
@@ -73,43 +90,61 @@
 	return p
 }
 
-// note takes the head of a datagram. It reports whether its counts are the newest.
-func (s *Sharer) note(m *message, from netip.AddrPort, now time.Time) bool {
+// note takes the head of a datagram. current reports whether its counts are the newest, and first whether the sender, or this
+// start of it, was not heard before.
+func (s *Sharer) note(m *message, from netip.AddrPort, now time.Time) (current, first bool) {
 	p := s.add(from, now)
 	if p == nil {
-		return false
+		return false, false
 	}
-	if !p.live {
-		select {
-		case s.greet <- struct{}{}:
-		default: // One is asked for already.
-		}
+	// A start may be told with a clock that is behind that of the start before, whose datagrams have arrived by now.
+	first = p.heard.IsZero() || m.start > p.start || m.start != p.start && now.Sub(p.heard) > restartTime
+	current = first || m.start == p.start && m.sequence > p.sequence
+	revived := !p.live
+	p.live, p.heard, p.name, p.dataCentre, p.region, p.capacity = true, now, m.vm, m.dataCentre, m.region, m.capacity
+	if current {
+		p.start, p.sequence = m.start, m.sequence
+	}
+	if revived {
 		klog.InfoS("VM heard", "vm", m.vm, "address", from, "region", m.region, "start", m.start)
+		first = first || s.inGroup(p)
 	}
-	p.live, p.heard, p.name, p.dataCentre, p.region = true, now, m.vm, m.dataCentre, m.region
-	if m.start < p.start || m.start == p.start && m.sequence <= p.sequence {
-		return false
+	return current, first
+}
+
+// learn takes what another VM tells of VMs.
+func (s *Sharer) learn(known []contact, teller string, now time.Time) {
+	for _, c := range known {
+		p := s.addText(c.address, now)
+		if p == nil {
+			continue
+		}
+		if p.heard.IsZero() {
+			p.dataCentre, p.region, p.capacity = c.dataCentre, s.Regions[c.dataCentre], c.capacity
+		}
+		if at := now.Add(-c.age); at.After(p.told) {
+			p.told = at
+		}
+		if !p.live && p.region != "" && !s.inGroup(p) && now.Sub(p.told) < untoldAfter {
+			p.live = true
+			klog.InfoS("VM told of", "address", c.address, "dataCentre", c.dataCentre, "teller", teller, "age", c.age)
+		}
 	}
-	p.start, p.sequence = m.start, m.sequence
-	return true
 }
 
 // expire returns the VMs that have fallen silent, and forgets those that have been silent for long.
 func (s *Sharer) expire(now time.Time) []peer {
 	var silent []peer
 	for address, p := range s.peers {
-		limit := silentAfter
-		switch {
-		case p.region != s.Region:
-			limit = farRounds * heartbeatInterval * 3
-		case !s.inGroup(p.dataCentre):
-			limit = nearRounds * heartbeatInterval * 3
+		last, limit := p.lastWord(), untoldAfter
+		if s.inGroup(p) {
+			last, limit = p.heard, silentAfter
 		}
-		if p.live && now.Sub(p.heard) > limit {
+		if p.live && now.Sub(last) > limit {
 			p.live = false
 			silent = append(silent, *p)
 		}
-		if last := p.heard; !p.live && now.Sub(last) > forgetAfter && now.Sub(p.added) > forgetAfter {
+		if !p.live && now.Sub(p.lastWord()) > forgetAfter && now.Sub(p.added) > forgetAfter {
 			delete(s.peers, address)
 		}
 	}
@@ -117,74 +152,105 @@
 }
 
 // regroup works out the VMs that get every event: those of the region, or those of the data centre in a large region, where
-// the datagrams would otherwise grow with the square of the VMs. It reports whether the group is the data centre.
-func (s *Sharer) regroup() (narrow bool) {
+// the datagrams would otherwise grow with the square of the VMs. It returns the VMs whose counts hold no longer, because they
+// have just left the group.
+func (s *Sharer) regroup() (left []netip.AddrPort) {
 	region := s.liveInRegion()
-	narrow = len(region) >= largeRegion
-	if narrow {
-		var near []netip.AddrPort
-		for _, address := range region {
-			if s.peers[address].dataCentre == s.DataCentre {
-				near = append(near, address)
-			}
+	before := s.narrow
+	s.narrow = len(region) >= largeRegion
+	var group []netip.AddrPort
+	for _, p := range region {
+		switch {
+		case s.inGroup(p):
+			group = append(group, p.address)
+		case !before:
+			left = append(left, p.address)
 		}
-		region = near
 	}
-	s.narrow.Store(narrow)
-	s.group.Store(&region)
-	return narrow
+	s.group.Store(&group)
+	s.Balancer.Narrow(s.narrow)
+	return left
 }
 
-// inGroup reports whether a VM of the region and a data centre shares its counts with this one.
-func (s *Sharer) inGroup(dataCentre string) bool {
-	return !s.narrow.Load() || dataCentre == s.DataCentre
+// inGroup reports whether a VM shares its counts with this one.
+func (s *Sharer) inGroup(p *peer) bool {
+	return p.region == s.Region && (!s.narrow || p.dataCentre == s.DataCentre)
 }
 
-func (s *Sharer) liveInRegion() []netip.AddrPort {
-	var targets []netip.AddrPort
-	for address, p := range s.peers {
+func (s *Sharer) liveInRegion() []*peer {
+	var found []*peer
+	for _, p := range s.peers {
 		if p.live && p.region == s.Region {
-			targets = append(targets, address)
+			found = append(found, p)
 		}
 	}
-	return targets
+	return found
 }
 
+// heartbeatTargets returns the VMs that get a heartbeat in a round. reads says that this VM reads the store, so that the whole
+// region needs to hear of it soon.
 func (s *Sharer) heartbeatTargets(round int, now time.Time, reads bool) []netip.AddrPort {
-	var targets []netip.AddrPort
+	var targets, far []netip.AddrPort
+	near := map[string][]netip.AddrPort{}
+	alone := true
 	for address, p := range s.peers {
+		alone = alone && !(p.live && p.region == s.Region)
 		switch {
-		case now.Sub(p.added) < greetTime && (p.region == "" || p.region == s.Region):
-			targets = append(targets, address)
-		case !p.live && round%silentRounds != 0:
-		case p.live && p.region != s.Region && round%farRounds != 0:
-		case p.live && p.region == s.Region && !s.inGroup(p.dataCentre) && round%nearRounds != 0 && !reads:
-		default:
+		case p.region != "" && p.region != s.Region:
+			far = append(far, address)
+		case p.region == s.Region && !s.inGroup(p):
+			near[p.dataCentre] = append(near[p.dataCentre], address)
+		case p.live || round%silentRounds == 0 || now.Sub(p.added) < greetTime:
 			targets = append(targets, address)
 		}
 	}
+	for _, addresses := range near {
+		switch {
+		case reads:
+			targets = append(targets, addresses...)
+		case round%contactRounds == 0:
+			targets = append(targets, lo.Samples(addresses, contacts)...)
+		}
+	}
+	// A VM that hears no other of its region finds them through other regions.
+	if round%farRounds == 0 || alone && round%contactRounds == 0 {
+		targets = append(targets, lo.Samples(far, contacts)...)
+	}
 	return targets
 }
 
-// sample returns some addresses, others in each round. Go's order of a map is random enough for that.
-func (s *Sharer) sample(round int) []string {
-	var known []string
+// sample returns some VMs, others in each round.
+func (s *Sharer) sample(round int, now time.Time) []contact {
 	if round%silentRounds != 0 {
 		return nil
 	}
-	size := sampleSize
-	if time.Duration(round)*heartbeatInterval < firstTime {
-		size = firstSample
-	}
-	for address, p := range s.peers {
-		if len(known) == size {
-			break
-		}
-		if p.live {
-			known = append(known, address.String())
+	return lo.Map(lo.Samples(s.livePeers(), sampleSize), func(p *peer, _ int) contact { return p.contact(now) })
+}
+
+// nearest returns up to replySize VMs, those of the data centre of p first, then those of its region.
+func (s *Sharer) nearest(p *peer, now time.Time) []contact {
+	var found []contact
+	for _, suits := range []func(*peer) bool{
+		func(o *peer) bool { return o.dataCentre == p.dataCentre },
+		func(o *peer) bool { return o.dataCentre != p.dataCentre && o.region == p.region },
+		func(o *peer) bool { return o.region != p.region },
+	} {
+		for _, o := range lo.Filter(s.livePeers(), func(o *peer, _ int) bool { return o != p && suits(o) }) {
+			if len(found) < replySize {
+				found = append(found, o.contact(now))
+			}
 		}
 	}
-	return known
+	return found
+}
+
+func (s *Sharer) livePeers() []*peer {
+	return lo.Filter(lo.Values(s.peers), func(p *peer, _ int) bool { return p.live })
+}
+
+func (p *peer) contact(now time.Time) contact {
+	return contact{address: p.address.String(), dataCentre: p.dataCentre, capacity: p.capacity,
+		age: now.Sub(p.lastWord()).Truncate(time.Millisecond)}
 }
 
 // VMs returns the number of VMs that are known, with this one.
@@ -201,51 +267,17 @@
 func (s *Sharer) LiveInRegion() []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var addresses []string
-	for _, a := range s.liveInRegion() {
-		addresses = append(addresses, a.String())
-	}
-	return addresses
+	return lo.Map(s.liveInRegion(), func(p *peer, _ int) string { return p.address.String() })
 }
 
-// liveInDataCentre returns the addresses of the live VMs of a data centre, this one included, and of the region if the data
-// centre has none.
-func (s *Sharer) liveInDataCentre(dataCentre string) []string {
+// Near reports whether the VM at an address is in the data centre of this one.
+func (s *Sharer) Near(address string) bool {
+	parsed, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return false
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var near, region []string
-	if s.DataCentre == dataCentre {
-		near = append(near, s.self.String())
-	}
-	region = append(region, s.self.String())
-	for address, p := range s.peers {
-		if !p.live || p.region != s.Region {
-			continue
-		}
-		region = append(region, address.String())
-		if p.dataCentre == dataCentre {
-			near = append(near, address.String())
-		}
-	}
-	if len(near) > 0 {
-		return near
-	}
-	return region
-}
-
-// Assigned reports whether a duty for something in a data centre of this region falls to this VM.
-func (s *Sharer) Assigned(duty, dataCentre string) bool {
-	order := dispatch.Rank(dispatch.PoolKey{Service: duty, DataCentre: dataCentre}, s.liveInDataCentre(dataCentre))
-	return order[0] == s.self.String()
-}
-
-// Rank returns the number of live VMs of the region that come before this one in the rendezvous order of a duty.
-func (s *Sharer) Rank(duty string) int {
-	ids := append(s.LiveInRegion(), s.Address())
-	for i, id := range dispatch.Rank(dispatch.PoolKey{Service: duty, DataCentre: s.Region}, ids) {
-		if id == s.Address() {
-			return i
-		}
-	}
-	return 0
+	p, known := s.peers[parsed]
+	return known && p.dataCentre == s.DataCentre
 }
--- a/pkg/prober/prober.go
+++ b/pkg/prober/prober.go
@@ -179,7 +179,7 @@
 		return
 	}
 	p.Balancer.Learn(key, *figure, now)
-	p.Tell(loadshare.Event{Key: key, Count: p.Balancer.OwnAt(key), Figure: figure})
+	p.Tell(loadshare.Event{Key: key, Count: p.Balancer.OwnAt(key), Figure: figure, FigureAt: now})
 	p.pause(key, now.Add(staleAfter/2))
 }
 
