--- a/pkg/directory/directory_test.go
+++ b/pkg/directory/directory_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"slices"
 	"strconv"
 	"sync"
@@ -113,7 +114,7 @@
 	if f.down {
 		return ErrUnavailable
 	}
-	f.records[VMs] = append(f.records[VMs], Record{Key: key, Value: value})
+	f.records[VMs] = append(f.records[VMs], Record{Key: key, Value: value, Offset: int64(len(f.records[VMs]))})
 	return nil
 }
 
@@ -315,11 +316,11 @@
 		Expect(state.Known()).To(BeTrue())
 		pass(1600 * time.Millisecond)
 		peers.rank = 3
-		follower.announce(context.Background(), []byte("{}"))
+		follower.announce(context.Background())
 		Expect(store.records[VMs]).To(BeEmpty())
 		peers.rank = 2
-		follower.announce(context.Background(), []byte("{}"))
-		follower.announce(context.Background(), []byte("{}"))
+		follower.announce(context.Background())
+		follower.announce(context.Background())
 		Expect(store.records[VMs]).To(HaveLen(1))
 		Expect(joined).To(BeEmpty())
 	})
@@ -329,13 +330,38 @@
 		store.put(VMs, "10.0.0.9:1", []byte("{}"))
 		read()
 		pass(1600 * time.Millisecond)
-		follower.announce(context.Background(), []byte("{}"))
+		follower.announce(context.Background())
 		Expect(joined).To(HaveLen(1))
 		Expect(joined[0].Records).To(ContainElement(HaveField("Key", "10.0.0.9:1")))
-		follower.announce(context.Background(), []byte("{}"))
+		follower.announce(context.Background())
 		Expect(joined).To(HaveLen(1))
 	})
 
+	// Guards against a list of VMs that grows with each replaced VM and leads new ones to addresses that are gone.
+	It("writes its record again in time, and removes those that nobody has written for long", func() {
+		store.put(VMs, "gone", []byte(`{"writtenAt":1}`))
+		store.put(VMs, "unreadable", []byte("{"))
+		read()
+		listed := func() (keys []string) {
+			found, err := store.Newest(context.Background(), VMs)
+			Expect(err).NotTo(HaveOccurred())
+			for _, r := range found.Records {
+				keys = append(keys, r.Key)
+			}
+			return keys
+		}
+		pass(1600 * time.Millisecond)
+		follower.announce(context.Background())
+		store.put(VMs, "young", fmt.Appendf(nil, `{"writtenAt":%d}`, now.Now().Unix()))
+		Expect(listed()).To(ConsistOf("gone", "unreadable", "self", "young"))
+		pass(announceInterval)
+		follower.announce(context.Background())
+		Expect(listed()).To(ConsistOf("self", "young"))
+		written := len(store.records[VMs])
+		follower.announce(context.Background())
+		Expect(store.records[VMs]).To(HaveLen(written))
+	})
+
 	// Guards against callers that are refused after a power loss of all VMs because each waits for the others.
 	It("waits less for what the seeds know when callers are there already", func() {
 		follower = NewFollower(now, state, store, peers, false, func(Batch) {})
--- a/pkg/directory/follower.go
+++ b/pkg/directory/follower.go
@@ -37,11 +37,6 @@
 	// the whole system starts for the first time, and no caller waits yet, and at any other start.
 	firstWait = 700 * time.Millisecond
 	seedWait  = 100 * time.Millisecond
-	// announcedVMs is the number of VMs of a region that are listed in the store, announceAfter the time after the start at
-	// which the order of the VMs is known, and askVMsInterval how often a VM that hears no other asks for them.
-	announcedVMs   = 3
-	announceAfter  = 1500 * time.Millisecond
-	askVMsInterval = 5 * time.Second
 	// checkInterval is how often the age is looked at.
 	checkInterval = 20 * time.Millisecond
 	// spreadTime is the time within which the VMs that are behind ask one that is not, and relayWait how long a VM whose data
@@ -92,12 +87,11 @@
 	started   time.Time
 	startWait time.Duration
 	// lastRead is the last time at which the store answered this VM.
-	lastRead  atomic.Int64
-	failures  int
-	nextTry   time.Time
-	announced bool
-	// askedVMs is when the store was last asked for the VMs.
-	askedVMs time.Time
+	lastRead atomic.Int64
+	failures int
+	nextTry  time.Time
+	// announcedAt is when this VM last listed itself in the store, and askedVMs when it last asked for the others.
+	announcedAt, askedVMs time.Time
 }
 
 // laterVMs is the number of VMs with later knowledge that wait to be asked. One answer serves for all of them.
@@ -124,15 +118,15 @@
 	}
 }
 
-// Run follows the store until ctx ends. self is this VM's record of VMs.
-func (f *Follower) Run(ctx context.Context, key string, self []byte) {
-	f.self, f.started = key, f.clock.Now()
+// Run follows the store until ctx ends. self is the address at which other VMs reach this one.
+func (f *Follower) Run(ctx context.Context, self string) {
+	f.self, f.started = self, f.clock.Now()
 	go f.takeOver(ctx)
 	for ctx.Err() == nil {
 		if f.due() {
 			f.read(ctx)
 		}
-		f.announce(ctx, self)
+		f.announce(ctx)
 		f.state.tick()
 		select {
 		case <-ctx.Done():
@@ -247,35 +241,6 @@
 	return b, true, err
 }
 
-// announce adds this VM to the store if it is one of those through which VMs without a live seed find the others, and asks
-// the store for the others if none is heard.
-func (f *Follower) announce(ctx context.Context, self []byte) {
-	now := f.clock.Now()
-	if !f.state.Known() || now.Sub(f.started) < announceAfter || now.Before(f.nextTry) {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
-	if !f.announced && f.peers.Rank() < announcedVMs {
-		if err := f.store.Publish(ctx, f.self, self); err != nil {
-			klog.InfoS("VM not added to the store", "err", err)
-			f.nextTry = now.Add(retryMax)
-			return
-		}
-		klog.InfoS("VM added to the store", "address", f.self)
-		f.announced = true
-	}
-	if f.peers.Alone() && now.Sub(f.askedVMs) >= askVMsInterval {
-		f.askedVMs = now
-		found, err := f.store.Newest(ctx, VMs)
-		if err != nil {
-			klog.InfoS("VMs not read from the store", "err", err)
-			return
-		}
-		f.joined(found)
-	}
-}
-
 // askSeeds takes over what other VMs know, for a VM that cannot reach the store.
 func (f *Follower) askSeeds(ctx context.Context) {
 	for _, address := range f.peers.Seeds() {
--- a/pkg/directory/types.go
+++ b/pkg/directory/types.go
@@ -59,7 +59,7 @@
 	Newest(ctx context.Context, topic Topic) (Batch, error)
 	// Read returns the records from an offset on, without waiting. Errors: ErrUnavailable, ErrExpired.
 	Read(ctx context.Context, topic Topic, from int64) (Batch, error)
-	// Publish adds a record to VMs. After ErrUnavailable it may still be added.
+	// Publish sets a record of VMs, or removes it if value is empty. After ErrUnavailable that may still happen.
 	Publish(ctx context.Context, key string, value []byte) error
 }
 
--- a/pkg/entryvm/vm.go
+++ b/pkg/entryvm/vm.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net"
 	"strconv"
 	"strings"
@@ -49,13 +48,14 @@
 }
 
 func listen(s *Settings) (*sockets, error) {
-	var l sockets
+	l := &sockets{}
 	for _, target := range []struct {
 		listener *net.Listener
 		address  string
 	}{{&l.callers, s.Callers}, {&l.health, s.Health}, {&l.peer, s.Peer}} {
 		listener, err := net.Listen("tcp", target.address)
 		if err != nil {
+			l.close()
 			return nil, errors.Mark(errors.Wrapf(err, "%s", target.address), ErrListen)
 		}
 		*target.listener = listener
@@ -64,7 +64,20 @@
 	if err == nil {
 		l.datagrams, err = net.ListenUDP("udp", address)
 	}
-	return &l, errors.Mark(errors.Wrapf(err, "%s", s.Peer), ErrListen)
+	if err != nil {
+		l.close()
+		return nil, errors.Mark(errors.Wrapf(err, "%s", s.Peer), ErrListen)
+	}
+	return l, nil
+}
+
+// close frees the addresses after a failed start. Nothing has used the sockets, so their errors tell nothing.
+func (l *sockets) close() {
+	for _, listener := range []net.Listener{l.callers, l.health, l.peer} {
+		if listener != nil {
+			_ = listener.Close()
+		}
+	}
 }
 
 // vm is a running entry VM.
@@ -196,20 +209,10 @@
 	v.sharer.Join(addresses)
 }
 
-// record is what the store keeps of a VM.
-type record struct {
-	VM     string `json:"vm"`
-	Region string `json:"region"`
-}
-
 func (v *vm) run(ctx context.Context) error {
 	s := v.settings
 	klog.InfoS("entry VM starts", "vm", s.VM, "dataCentre", s.DataCentre, "region", s.Region, "callers", s.Callers, "peer", s.Peer,
 		"store", s.Store, "seeds", strings.Join(s.Seeds, ","))
-	self, err := json.Marshal(record{VM: s.VM, Region: s.Region})
-	if err != nil {
-		return errors.Wrap(err, "encode the record of this VM")
-	}
 	serving, end := context.WithCancel(context.Background())
 	defer end()
 	v.sharer.Join(s.Seeds)
@@ -217,7 +220,7 @@
 	group.Go(func() error { return v.gateway.Serve(serving, v.sockets.callers) })
 	group.Go(func() error { return v.serveHealth(serving) })
 	group.Go(func() error { return v.sharer.Run(serving) })
-	group.Go(func() error { v.follower.Run(serving, v.sharer.Address(), self); return nil })
+	group.Go(func() error { v.follower.Run(serving, v.sharer.Address()); return nil })
 	group.Go(func() error { v.maintain(serving); return nil })
 	group.Go(func() error { v.prober.Run(serving); return nil })
 	group.Go(func() error { return v.serveCalls(serving) })
@@ -230,7 +233,7 @@
 		}
 		return nil
 	})
-	err = group.Wait()
+	err := group.Wait()
 	klog.InfoS("entry VM stopped", "vm", s.VM, "inFlight", v.gateway.InFlight(), "err", err)
 	return err
 }
