soak: two regions, reloads, stops that meet other signals, storms and flaps; listen for SIGHUP first

The soak had one region, no SIGHUP, no second signal during a stop and no series of stops or configurations. New: reloads with other seeds, SIGHUP and SIGTERM again during a stop, three stops in a row, a kill during a stop, a stop during a pause, a store that answers 503 to one VM or loses answers, servers that forget connections or go down and up, storms of configurations, servers whose clocks differ.

Found by reading: a SIGHUP in the first moments of a process ended it, because it was listened for only after the sockets were open.

--- a/internal/lab/cluster/process.go
+++ b/internal/lab/cluster/process.go
@@ -112,6 +112,9 @@
 // Terminate sends SIGTERM, which asks for a graceful stop.
 func (p *Process) Terminate() error { return p.signal(syscall.SIGTERM) }
 
+// Reload sends SIGHUP, which says that the settings have changed.
+func (p *Process) Reload() error { return p.signal(syscall.SIGHUP) }
+
 // Pause sends SIGSTOP.
 func (p *Process) Pause() error { return p.signal(syscall.SIGSTOP) }
 
--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/hornbeamway/hornbeamway/internal/lab/cluster"
 	"github.com/hornbeamway/hornbeamway/internal/standin/logservice"
 	"github.com/hornbeamway/hornbeamway/internal/standin/platformserver"
 )
@@ -51,12 +52,59 @@
 			v.release()
 		}
 	}},
-	{"vm.stop", func(ctx context.Context, w *world, pick int) { w.stop(ctx, w.vms[pick%len(w.vms)]) }},
+	{"vm.stop", func(ctx context.Context, w *world, pick int) { w.stop(ctx, w.vms[pick%len(w.vms)], nil) }},
+	{"vm.stop.reload", func(ctx context.Context, w *world, pick int) {
+		w.stop(ctx, w.vms[pick%len(w.vms)], func(p *cluster.Process) { _, _ = p.Reload(), p.Terminate() })
+	}},
+	{"vm.stop.row", func(ctx context.Context, w *world, pick int) {
+		for i := range 3 {
+			w.stop(ctx, w.vms[(pick+i)%len(w.vms)], nil)
+		}
+	}},
+	{"vm.stop.kill", func(ctx context.Context, w *world, pick int) {
+		v := w.vms[pick%len(w.vms)]
+		if end, ok := w.claim(v); ok {
+			defer end()
+			// The process may have ended by itself when it is killed.
+			_ = v.current().Terminate()
+			pause(ctx, time.Duration(pick/kinds%4)*time.Second)
+			v.current().Kill()
+			w.restart(v)
+		}
+	}},
+	{"vm.pause.stop", func(ctx context.Context, w *world, pick int) {
+		v := w.vms[pick%len(w.vms)]
+		if end, ok := w.claim(v); ok {
+			defer end()
+			p := v.current()
+			_, _ = p.Pause(), p.Terminate()
+			pause(ctx, time.Second)
+			_ = p.Resume()
+			limit, cancel := context.WithTimeout(ctx, stopSeconds*time.Second)
+			defer cancel()
+			if err := p.Wait(limit); err != nil && ctx.Err() == nil {
+				w.judge.fail("STOP: %s after a pause: %v", v.name, err)
+				p.Kill()
+			}
+			w.restart(v)
+		}
+	}},
+	{"vm.reload", func(_ context.Context, w *world, pick int) {
+		v := w.vms[pick%len(w.vms)]
+		if err := w.writeSettings(v, pick/kinds); err != nil {
+			w.judge.fail("settings of %s: %v", v.name, err)
+		}
+		if v.claim() {
+			// A reload disturbs nothing, so the VM stays bound by every promise.
+			_ = v.current().Reload()
+			v.release()
+		}
+	}},
 	{"vm.cut", func(ctx context.Context, w *world, pick int) {
 		v := w.vms[pick%len(w.vms)]
 		defer w.judge.disturb(v.name)()
 		p := v.store
-		p.set([]mode{silence, oneWay, refuse, delay}[pick/kinds%4])
+		p.set([]mode{silence, oneWay, refuse, delay, busy}[pick/kinds%5])
 		pause(ctx, 3*time.Second)
 		p.set(pass)
 		p.reset()
@@ -70,6 +118,9 @@
 	{"store.slow", func(ctx context.Context, w *world, _ int) {
 		w.storeFault(ctx, logservice.Faults{DelayMillis: 250}, 3*time.Second)
 	}},
+	{"store.lost", func(ctx context.Context, w *world, _ int) {
+		w.storeFault(ctx, logservice.Faults{LostAnswerProbability: 0.5, DelayMillis: 20}, 3*time.Second)
+	}},
 	{"store.compact", func(_ context.Context, w *world, _ int) {
 		w.judge.disturb(everyVM)()
 		w.store.Compact(topicServers)
@@ -99,6 +150,28 @@
 		s.proxy.set(pass)
 		s.proxy.reset()
 	}},
+	{"server.forget", func(ctx context.Context, w *world, pick int) {
+		// Idle connections go without notice, several times.
+		for i := range 4 {
+			if s := w.pickServer(pick + i); s != nil {
+				s.proxy.reset()
+			}
+			pause(ctx, 300*time.Millisecond)
+		}
+	}},
+	{"server.flap", func(ctx context.Context, w *world, pick int) {
+		s := w.pickServer(pick)
+		if s == nil {
+			return
+		}
+		for range 3 {
+			s.proxy.set(refuse)
+			s.proxy.reset()
+			pause(ctx, 500*time.Millisecond)
+			s.proxy.set(pass)
+			pause(ctx, 500*time.Millisecond)
+		}
+	}},
 	{"server.reuse", func(ctx context.Context, w *world, pick int) { w.reuseAddress(ctx, pick) }},
 	{"server.drain", func(ctx context.Context, w *world, pick int) { w.drain(ctx, pick) }},
 	{"config.change", func(_ context.Context, w *world, pick int) {
@@ -108,6 +181,16 @@
 		w.mu.Unlock()
 		w.publishConfig()
 	}},
+	{"config.storm", func(ctx context.Context, w *world, pick int) {
+		for i := range 5 {
+			w.mu.Lock()
+			route := (pick + i) % len(routes)
+			w.routed[route] = 1 - w.routed[route]
+			w.mu.Unlock()
+			w.publishConfig()
+			pause(ctx, 200*time.Millisecond)
+		}
+	}},
 }
 
 func pause(ctx context.Context, d time.Duration) {
@@ -150,8 +233,8 @@
 	}
 }
 
-// stop asks a VM to stop, and checks that it does in time.
-func (w *world) stop(ctx context.Context, v *vm) {
+// stop asks a VM to stop, and checks that it does in time. also, if any, follows the signal.
+func (w *world) stop(ctx context.Context, v *vm, also func(*cluster.Process)) {
 	if !v.claim() {
 		return
 	}
@@ -162,6 +245,9 @@
 	if err := p.Terminate(); err != nil {
 		w.judge.fail("stop %s: %v", v.name, err)
 	}
+	if also != nil {
+		also(p)
+	}
 	limit, cancel := context.WithTimeout(ctx, stopSeconds*time.Second)
 	defer cancel()
 	if err := p.Wait(limit); err != nil && ctx.Err() == nil {
--- a/internal/lab/soak/proxy.go
+++ b/internal/lab/soak/proxy.go
@@ -22,8 +22,13 @@
 	oneWay
 	// refuse resets new connections.
 	refuse
+	// busy answers each request on a new connection with 503.
+	busy
 )
 
+// busyAnswer is what a busy proxy says.
+const busyAnswer = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+
 const delayMax = 60 * time.Millisecond
 
 // proxy is a loopback relay in front of one address.
@@ -96,6 +101,12 @@
 		abort(c)
 		return
 	}
+	if p.now() == busy {
+		_, _ = c.Read(make([]byte, 16<<10))
+		_, _ = io.WriteString(c, busyAnswer)
+		_ = c.Close()
+		return
+	}
 	server, err := net.DialTimeout("tcp", p.target, time.Second)
 	if err != nil {
 		abort(c)
--- a/internal/lab/soak/world.go
+++ b/internal/lab/soak/world.go
@@ -33,6 +33,9 @@
 	stopSeconds                       = 6
 )
 
+// zones are the data centres with their regions.
+var zones = []struct{ name, region string }{{"west-1", "west"}, {"west-2", "west"}, {"east-1", "east"}, {"east-2", "east"}}
+
 // services and their routes. Every route begins at its own service and moves between the two of its kind.
 var services = []string{"lookup-a", "lookup-b", "order-a", "order-b"}
 
@@ -65,6 +68,7 @@
 
 // vm is one entry VM behind a proxy to the store.
 type vm struct {
+	index                   int
 	name, ip, settings, log string
 	store                   *proxy
 	mu                      sync.Mutex
@@ -80,6 +84,7 @@
 	born    int64
 	seq     int
 	state   string
+	zone    string
 	silent  bool
 	lastSay time.Time
 }
@@ -106,15 +111,15 @@
 		}
 	}
 	for i := range o.VMs {
-		v := &vm{name: fmt.Sprintf("vm-%02d", i), ip: fmt.Sprintf("127.%d.%d.%d", 10+o.Seed%200, 1+o.Network%200, 1+i)}
+		v := &vm{index: i, name: fmt.Sprintf("vm-%02d", i), ip: fmt.Sprintf("127.%d.%d.%d", 10+o.Seed%200, 1+o.Network%200, 1+i)}
 		v.settings, v.log = filepath.Join(dir, v.name+".json"), filepath.Join(dir, v.name+".log")
 		if v.store, err = startProxy("127.0.0.1:0", w.storeAt); err != nil {
 			return nil, errors.Wrap(err, "start a proxy")
 		}
 		w.vms = append(w.vms, v)
 	}
-	for i, v := range w.vms {
-		if err := w.writeSettings(v, i); err != nil {
+	for _, v := range w.vms {
+		if err := w.writeSettings(v, 0); err != nil {
 			return nil, err
 		}
 		if err := v.start(w.bin); err != nil {
@@ -124,17 +129,19 @@
 	return w, nil
 }
 
-func (w *world) writeSettings(v *vm, i int) error {
-	region, zone := "west", "west-1"
-	if i%2 == 1 {
-		zone = "west-2"
+// writeSettings writes the settings of a VM whose seeds are two VMs, from a number on.
+func (w *world) writeSettings(v *vm, firstSeed int) error {
+	regions := map[string]string{}
+	for _, z := range zones {
+		regions[z.name] = z.region
 	}
+	place := zones[v.index%len(zones)]
+	seed := func(i int) string { return w.vms[(firstSeed+i)%len(w.vms)].ip + ":1" }
 	data, err := json.Marshal(map[string]any{
-		"self": map[string]any{"node_name": v.name, "ip": v.ip, "zone": zone, "region": region},
+		"self": map[string]any{"node_name": v.name, "ip": v.ip, "zone": place.name, "region": place.region},
 		"network": map[string]any{
 			"listen":              map[string]string{"front": v.ip + ":" + callersPort, "ready": v.ip + ":" + healthPort},
-			"internal_port_range": []int{7540, 7555}, "zones": map[string]string{"west-1": region, "west-2": region},
-			"seeds": []string{w.vms[0].ip + ":1", w.vms[1].ip + ":1"},
+			"internal_port_range": []int{7540, 7555}, "zones": regions, "seeds": []string{seed(0), seed(1)},
 		},
 		"platform": map[string]any{"platform": map[string]string{"address": v.store.address()}},
 		"terms":    map[string]any{"bounds": map[string]any{"grace_s": stopSeconds, "retry_budget_ratio": 0.2, "retry_budget_slack": 60}},
@@ -142,7 +149,11 @@
 	if err != nil {
 		return errors.Wrap(err, "encode settings")
 	}
-	return os.WriteFile(v.settings, data, 0o600)
+	// A VM that starts meanwhile must not read half a file.
+	if err := os.WriteFile(v.settings+".new", data, 0o600); err != nil {
+		return errors.Wrap(err, "write settings")
+	}
+	return os.Rename(v.settings+".new", v.settings)
 }
 
 func (v *vm) start(bin string) error {
@@ -197,7 +208,9 @@
 		s.Close()
 		return errors.Wrap(err, "start a proxy")
 	}
-	w.servers[id] = &server{Server: s, proxy: p, born: time.Now().UnixMilli(), state: "ready"}
+	// The clocks of servers differ.
+	born := time.Now().Add(time.Duration(w.nextID%5-2) * time.Second).UnixMilli()
+	w.servers[id] = &server{Server: s, proxy: p, born: born, state: "ready", zone: zones[w.nextID%len(zones)].name}
 	w.say(w.servers[id])
 	return nil
 }
@@ -208,8 +221,7 @@
 func (w *world) say(s *server) {
 	s.seq++
 	s.lastSay = time.Now()
-	zone := "west-" + strconv.Itoa(1+len(s.ID+s.Service)%2)
-	data, _ := json.Marshal(map[string]any{"service": s.Service, "address": s.proxy.address(), "zone": zone, "version": "v1",
+	data, _ := json.Marshal(map[string]any{"service": s.Service, "address": s.proxy.address(), "zone": s.zone, "version": "v1",
 		"slots": 3, "state": s.state, "warmup_left_ms": 0, "seq": s.seq, "born": s.born})
 	w.store.Put(topicServers, s.ID, data)
 }
--- a/pkg/entryvm/life.go
+++ b/pkg/entryvm/life.go
@@ -2,10 +2,7 @@
 
 import (
 	"context"
-	"os"
-	"os/signal"
 	"slices"
-	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -78,9 +75,6 @@
 
 // maintain works out this VM's shares and follows changes of the settings.
 func (v *vm) maintain(ctx context.Context) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
 	ticker := time.NewTicker(maintainInterval)
 	defer ticker.Stop()
 	for {
@@ -89,7 +83,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-		case <-hup:
+		case <-v.hup:
 			v.reload()
 		}
 	}
--- a/pkg/entryvm/vm.go
+++ b/pkg/entryvm/vm.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"net"
+	"os"
+	"os/signal"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -93,11 +96,17 @@
 	retries  *retrybudget.Budgets
 	calls    *peer.Server
 	pool     *peer.Pool
+	// hup receives the signal for changed settings.
+	hup chan os.Signal
 }
 
 // Run serves as an entry VM until ctx ends, then stops: health checks fail at once, requests are served until the platform
 // sends no more, and those in flight are finished. It returns nil after that. Errors: ErrListen and those of the listeners.
 func Run(ctx context.Context, s *Settings, p Platform) error {
+	// The signal would end the process if it came before anything listens for it.
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
 	l, err := listen(s)
 	if err != nil {
 		return err
@@ -106,6 +115,7 @@
 	if err != nil {
 		return err
 	}
+	v.hup = hup
 	return v.run(ctx)
 }
 
