Report service-level burn in the platform form

Each entry VM measures the objectives of the routes with package burn and serves /burn beside /metrics. A route without an objective has its timeout as one: an objective of zero made every request late. The specs were written with the change.

--- a/pkg/directory/state.go
+++ b/pkg/directory/state.go
@@ -121,7 +121,7 @@
 	case !ok || table.Version <= s.digest.ConfigVersion:
 		return
 	}
-	klog.InfoS("configuration in force", "version", table.Version, "previous", s.digest.ConfigVersion, "routes", table.Routes(),
+	klog.InfoS("configuration in force", "version", table.Version, "previous", s.digest.ConfigVersion, "routes", len(table.Routes()),
 		"source", source, "offset", offset)
 	s.digest.ConfigVersion = table.Version
 	s.configKey, s.configRecord = key, value
--- a/pkg/entryvm/entryvm_test.go
+++ b/pkg/entryvm/entryvm_test.go
@@ -34,7 +34,7 @@
 const (
 	configuration = `{"version":"r1","resources":[
 		{"type":"routes","metadata":{"name":"orders"},"spec":{"host":"shop.example","path_prefix":"/order/","service":"orders",
-			"kind":"unsafe","timeout_ms":3000,"target_latency_ms":900,"max_attempts":1}},
+			"kind":"unsafe","timeout_ms":3000,"target_latency_ms":900,"priority":1,"max_attempts":1}},
 		{"type":"services","metadata":{"name":"orders"},"spec":{"health_path":"/healthz","max_conns":100}},
 		{"type":"limits","spec":{"max_header_bytes":16384,"max_body_bytes":1000000,"header_timeout_ms":3000,"idle_timeout_ms":15000}}]}`
 	stopTime = 4 * time.Second
@@ -210,6 +210,21 @@
 			Expect(strings.Contains(string(text), name)).To(BeTrue(), name)
 		}
 	})
+
+	// Guards against objectives that nobody measures: operators see there which service misses its own.
+	It("reports how fast services use up what their objectives allow", func() {
+		publish()
+		Eventually(status, "5s").Should(Equal(http.StatusOK))
+		time.Sleep(1100 * time.Millisecond)
+		_, r := order("measured")
+		answer(r)
+		resp, err := http.Get("http://" + settings.Health + "/burn")
+		Expect(err).NotTo(HaveOccurred())
+		defer resp.Body.Close()
+		text, err := io.ReadAll(resp.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(text)).To(MatchRegexp(`orders +transactional +900ms +0.95 +1 +1 +0 `))
+	})
 })
 
 var _ = Describe("listening", func() {
--- a/pkg/entryvm/life.go
+++ b/pkg/entryvm/life.go
@@ -73,11 +73,12 @@
 	return max(leastConnection, int(connectionUse*float64(limit))/v.sharer.VMs())
 }
 
-// maintain works out this VM's shares and follows changes of the settings.
+// maintain works out this VM's shares and objectives and follows changes of the settings.
 func (v *vm) maintain(ctx context.Context) {
 	ticker := time.NewTicker(maintainInterval)
 	defer ticker.Stop()
 	for {
+		v.followObjectives()
 		v.retries.SetBurst(max(1, retryUse*v.settings.RetrySlack/float64(v.sharer.VMs())))
 		select {
 		case <-ctx.Done():
@@ -122,7 +123,7 @@
 	}
 }
 
-// serveHealth answers health checks and metrics.
+// serveHealth answers health checks, metrics and the report on burn.
 func (v *vm) serveHealth(ctx context.Context) error {
 	app := fiber.New(fiber.Config{ReadTimeout: healthReadTimeout})
 	app.Get("/readyz", func(c fiber.Ctx) error {
@@ -131,6 +132,12 @@
 		}
 		return c.SendString("ok\n")
 	})
+	app.Get("/burn", func(c fiber.Ctx) error {
+		if c.Accepts("text/plain", "application/json") == "application/json" {
+			return c.JSON(v.burn.Report())
+		}
+		return v.burn.Report().WriteText(c.Response().BodyWriter())
+	})
 	app.Get("/metrics", func(c fiber.Ctx) error {
 		metrics.WritePrometheus(c.Response().BodyWriter(), true)
 		return nil
--- a/pkg/entryvm/vm.go
+++ b/pkg/entryvm/vm.go
@@ -17,6 +17,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/hornbeamway/hornbeamway/pkg/balance"
+	"github.com/hornbeamway/hornbeamway/pkg/burn"
 	"github.com/hornbeamway/hornbeamway/pkg/clock"
 	"github.com/hornbeamway/hornbeamway/pkg/directory"
 	"github.com/hornbeamway/hornbeamway/pkg/gateway"
@@ -98,6 +99,9 @@
 	pool     *peer.Pool
 	// hup receives the signal for changed settings.
 	hup chan os.Signal
+	// burn measures against the objectives of the configuration of a version.
+	burn         *burn.Tracker
+	objectivesOf int64
 }
 
 // Run serves as an entry VM until ctx ends, then stops: health checks fail at once, requests are served until the platform
@@ -122,7 +126,7 @@
 // build makes the parts.
 func build(s *Settings, p Platform, l *sockets) (*vm, error) {
 	i := do.New()
-	v := &vm{settings: s, platform: p, sockets: l}
+	v := &vm{settings: s, platform: p, sockets: l, burn: burn.NewTracker(clock.System{}, nil)}
 	system, seed := clock.System{}, xxhash.Sum64String(s.Peer+strconv.FormatInt(time.Now().UnixNano(), 10))
 	do.ProvideValue(i, balance.New(balance.Place{DataCentre: s.DataCentre, Region: s.Region}, seed))
 	do.ProvideValue(i, retrybudget.New(retryUse*s.RetryShare, 1))
@@ -151,7 +155,7 @@
 		return gateway.New(gateway.Options{Clock: system, Dialect: p.Dialect, State: do.MustInvoke[*directory.State](i),
 			Balancer: do.MustInvoke[*balance.Balancer](i), Splitter: routing.NewSplitter(float64(seed%1000) / 1000),
 			Servers: do.MustInvoke[*upstream.Transport](i), Retries: do.MustInvoke[*retrybudget.Budgets](i),
-			Tell: do.MustInvoke[*loadshare.Sharer](i).Tell}), nil
+			Tell: do.MustInvoke[*loadshare.Sharer](i).Tell, Observe: v.observe}), nil
 	})
 	options := peer.Options{ID: s.VM, Secret: s.Store}
 	v.calls, v.pool = peer.NewServer(options), peer.NewPool(options)
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -53,6 +53,8 @@
 	Retries  *retrybudget.Budgets
 	// Tell sends the begin and end of requests to the other VMs.
 	Tell func(loadshare.Event)
+	// Observe takes the end of each request with a route; ok is false for an error answer. Nil: nobody does.
+	Observe func(route *routing.Route, service string, took time.Duration, ok bool)
 }
 
 // Gateway is the data path of the platform form. It is safe for concurrent use.
--- a/pkg/gateway/record.go
+++ b/pkg/gateway/record.go
@@ -57,6 +57,9 @@
 		metrics.GetOrCreateHistogram(fmt.Sprintf(`hornbeamway_gateway_duration_seconds{service=%q}`, c.service)).Update(took.Seconds())
 	}
 	metrics.GetOrCreateCounter(`hornbeamway_gateway_requests_total{service="` + c.service + `",status="` + strconv.Itoa(status) + `"}`).Inc()
+	if c.route != nil && g.Observe != nil {
+		g.Observe(c.route, c.service, took+c.waited, status < fasthttp.StatusInternalServerError && status != fasthttp.StatusTooManyRequests)
+	}
 	age, confirmed := g.State.Age()
 	if !confirmed {
 		age = -1 // the store has confirmed nothing yet
--- a/pkg/routing/routing_test.go
+++ b/pkg/routing/routing_test.go
@@ -35,7 +35,7 @@
 		Expect(t.Match("x.example", "/pq/")).To(BeNil())
 		Expect(t.Match("y.example", "/p/q/").Name).To(Equal("other"))
 		Expect(t.Match("z.example", "/p/")).To(BeNil())
-		Expect(t.Routes()).To(Equal(3))
+		Expect(t.Routes()).To(HaveLen(3))
 	})
 
 	// Guards against a configuration in force that sends requests nowhere, or to one of two places at random.
--- a/pkg/routing/table.go
+++ b/pkg/routing/table.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -35,7 +36,7 @@
 	// Priority is the rank of the requests; 0 is the most urgent.
 	Priority int
 	// Timeout is the longest time that a caller is kept waiting. Objective is the latency within which an answer is of full
-	// use.
+	// use; by default the timeout.
 	Timeout, Objective time.Duration
 	// MaxAttempts is the largest number of backend servers that one request may be sent to.
 	MaxAttempts int
@@ -76,6 +77,9 @@
 		if err := t.check(r); err != nil {
 			return nil, errors.Wrapf(err, "route %q", r.Name)
 		}
+		if r.Objective <= 0 {
+			r.Objective = r.Timeout
+		}
 		host := normalHost(r.Host)
 		t.hosts[host] = append(t.hosts[host], r)
 	}
@@ -127,13 +131,9 @@
 	return nil
 }
 
-// Routes returns the number of routes.
-func (t *Table) Routes() int {
-	n := 0
-	for _, routes := range t.hosts {
-		n += len(routes)
-	}
-	return n
+// Routes returns all routes.
+func (t *Table) Routes() []*Route {
+	return slices.Concat(slices.Collect(maps.Values(t.hosts))...)
 }
 
 // normalHost returns the host in lower case without its port.
