Downloads take free slots only where there are urgent requests

Where a service has urgent requests, requests with a long objective now get a slot only if one is free. The work of downloads was also taken for 0.35 of their objective until the first answers, which made them urgent. The spec fails without the change (504, not 503).

--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -158,6 +158,9 @@
 	}
 }
 
+// Urgent reports whether an objective is short for the usual work of a request, so that it is missed on a slow server.
+func Urgent(objective, work time.Duration) bool { return objective <= urgentWorks*work }
+
 // Pick returns the server that is expected to answer first; ok is false if the service has none.
 func (b *Balancer) Pick(r Request, now time.Time) (c Choice, ok bool) {
 	b.mu.Lock()
@@ -166,7 +169,7 @@
 	if svc == nil {
 		return Choice{}, false
 	}
-	if r.Objective <= urgentWorks*r.Work {
+	if Urgent(r.Objective, r.Work) {
 		svc.urgentAt = now
 	}
 	best, bestCost := (*server)(nil), 0.0
--- a/pkg/gateway/fixture_test.go
+++ b/pkg/gateway/fixture_test.go
@@ -174,6 +174,8 @@
 	share := []routing.Share{{Service: "s", Weight: 1}}
 	t, err := routing.NewTable(version, []routing.Route{
 		{Name: "safe", Host: "h", Prefix: "/safe/", Shares: share, Idempotent: true, Timeout: routeTimeout, Objective: objective, MaxAttempts: 2},
+		{Name: "bulk", Host: "h", Prefix: "/bulk/", Shares: share, Idempotent: true, Bulk: true, Timeout: 2 * time.Second,
+			Objective: 10 * objective, MaxAttempts: 1},
 		{Name: "once", Host: "h", Prefix: "/once/", Shares: share, Timeout: routeTimeout, Objective: objective, MaxAttempts: 2},
 	}, []routing.Service{{Name: "s"}}, routing.Limits{BodyBytes: 8 << 20, HeaderBytes: headerLimit})
 	Expect(err).NotTo(HaveOccurred())
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -199,6 +199,28 @@
 		Eventually(f.Connections).Should(BeZero())
 	})
 
+	// Guards against a flood of downloads at a service whose orders must then wait or are refused: with their long objectives
+	// downloads were taken while orders were not.
+	It("gives downloads free slots only where there are urgent requests", func() {
+		release := make(chan struct{})
+		defer close(release)
+		b := startBackend(func(r *received, c net.Conn) bool { <-release; return good(r, c) })
+		f := start(b)
+		for i := range 4 {
+			f.dial().send("GET", "/bulk/", fmt.Sprint("alone", i), nil)
+			Eventually(b.count).Should(Equal(i+1), "nothing else needs the slots")
+		}
+		b = startBackend(func(r *received, c net.Conn) bool { <-release; return good(r, c) })
+		f = start(b)
+		for i, path := range []string{"/once/", "/bulk/", "/bulk/"} {
+			f.dial().send("POST", path, fmt.Sprint("both", i), nil)
+			Eventually(b.count).Should(Equal(i + 1))
+		}
+		refused := f.dial()
+		refused.send("GET", "/bulk/", "refused", nil)
+		Expect(refused.receive().StatusCode).To(Equal(503))
+	})
+
 	// Guards against callers that try again after an outage and, late as they are, make those late that come for the first time.
 	It("refuses a request that is late already before one that can still meet its objective", func() {
 		release := make(chan struct{})
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -115,24 +115,25 @@
 		return choice, notRun(problem.ReasonNoServer, "no backend server of "+c.service, min(noServerRetry, left/4))
 	}
 	if len(c.sent) == 0 {
-		return choice, g.checkLoad(c, choice.Expected, left)
+		return choice, g.checkLoad(c, choice, left, now)
 	}
 	return choice, nil
 }
 
-// checkLoad refuses a request that would wait too long for its answer.
-func (g *Gateway) checkLoad(c *call, expected, left time.Duration) *problem.Problem {
+// checkLoad refuses a request that would wait too long for its answer, or make one wait that needs it more.
+func (g *Gateway) checkLoad(c *call, choice balance.Choice, left time.Duration, now time.Time) *problem.Problem {
 	work, objective := g.work.work(c.route), c.route.Objective
 	limit, retry := time.Duration(overloadFactor*float64(objective)), time.Duration(overloadRetryShare*float64(objective))
+	freeSlotOnly := !balance.Urgent(objective, work) && g.Balancer.Urgent(c.service, now)
 	if c.waited+work > objective {
 		// There is no haste any more, so it comes back when there may be room.
 		limit, retry = min(limit, lateWorks*work), left
 	}
-	if expected <= limit {
+	if choice.Expected <= limit && !(freeSlotOnly && choice.Busy >= choice.Server.Slots) {
 		return nil
 	}
-	return notRun(problem.ReasonQueueFull, fmt.Sprintf("backend servers of %s are full: answer expected after %dms, limit %dms",
-		c.service, expected.Milliseconds(), limit.Milliseconds()), min(retry, left/4))
+	return notRun(problem.ReasonQueueFull, fmt.Sprintf("backend servers of %s are full: busy %d, answer expected after %dms, limit %dms, free slot only %t",
+		c.service, choice.Busy, choice.Expected.Milliseconds(), limit.Milliseconds(), freeSlotOnly), min(retry, left/4))
 }
 
 // mayRepeat decides whether another attempt may follow r, and pays for it.
--- a/pkg/gateway/worktime.go
+++ b/pkg/gateway/worktime.go
@@ -8,8 +8,10 @@
 )
 
 const (
-	// initialWorkShare is the work that is expected of a route without answers yet, as a share of its objective.
-	initialWorkShare = 0.35
+	// initialWorkShare is the work that is expected of a route without answers yet, as a share of its objective, by whether its
+	// answers are large.
+	initialWorkShare     = 0.35
+	initialBulkWorkShare = 0.1
 	// initialBytes is the size that is expected of an answer of such a route, by whether its answers are large.
 	initialBytes     = 5_000
 	initialBulkBytes = 90_000
@@ -40,7 +42,7 @@
 	if !ok {
 		found = &routeWork{work: initialWorkShare * float64(r.Objective), bytes: initialBytes}
 		if r.Bulk {
-			found.bytes = initialBulkBytes
+			found.work, found.bytes = initialBulkWorkShare*float64(r.Objective), initialBulkBytes
 		}
 		w.routes[r.Name] = found
 	}
