Callers come back sooner after a refusal by servers

Cause: a request that every server refused was answered with Retry-After of 150 ms, which is most of an objective of 200 ms and more than a third of one of 400 ms, while a refusal of the VM's own names a tenth of the objective. Both now name a tenth. The spec fails without the change (0.15 s).

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -148,10 +148,10 @@
 	switch {
 	case answer.Misdirected:
 		return result{outcome: balance.Misdirected, notRun: true, arrived: true, detail: "another server at the address",
-			err: notRun(problem.ReasonUpstream, "the backend server was replaced", noServerRetry)}
+			err: notRun(problem.ReasonUpstream, "the backend server was replaced", refusalRetry(a.route))}
 	case answer.NotRun:
 		return result{outcome: balance.Full, notRun: true, arrived: true, detail: "not run by the server",
-			err: notRun(problem.ReasonQueueFull, "the backend server did not run the request", noServerRetry)}
+			err: notRun(problem.ReasonQueueFull, "the backend server did not run the request", refusalRetry(a.route))}
 	case answer.RequestID != a.id:
 		return broken("the answer names no request")
 	case !answer.Signed && status < fasthttp.StatusMultipleChoices:
@@ -205,7 +205,7 @@
 		if errors.Is(failure.Cause, upstream.ErrConnectionLimit) || errors.Is(failure.Cause, upstream.ErrPaced) {
 			r.outcome = balance.Full
 		}
-		r.err = notRun(problem.ReasonUpstream, failure.Error(), noServerRetry)
+		r.err = notRun(problem.ReasonUpstream, failure.Error(), refusalRetry(a.route))
 	case failure.Timeout:
 		r.err = problem.New(fasthttp.StatusGatewayTimeout, problem.Unknown, problem.ReasonDeadline, "no answer in time")
 	default:
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -221,6 +221,16 @@
 		Expect(refused.receive().StatusCode).To(Equal(503))
 	})
 
+	// Guards against callers that come back too late to meet the objective after servers have refused their request.
+	It("says when to come back so that the objective can still be met", func() {
+		full := func(r *received, c net.Conn) bool { return write(c, r, 503, "", "Not-Run: 1") }
+		a := start(startBackend(full), startBackend(full)).ask("POST", "/once/", "order")
+		Expect(a.StatusCode).To(Equal(503))
+		wait, err := strconv.ParseFloat(a.Header.Get("Retry-After"), 64)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(wait).To(And(BeNumerically(">", 0), BeNumerically("<=", objective.Seconds()/5)))
+	})
+
 	// Guards against callers that try again after an outage and, late as they are, make those late that come for the first time.
 	It("refuses a request that is late already before one that can still meet its objective", func() {
 		release := make(chan struct{})
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -9,6 +9,7 @@
 
 	"github.com/hornbeamway/hornbeamway/pkg/balance"
 	"github.com/hornbeamway/hornbeamway/pkg/problem"
+	"github.com/hornbeamway/hornbeamway/pkg/routing"
 	"github.com/hornbeamway/hornbeamway/pkg/upstream"
 )
 
@@ -24,8 +25,9 @@
 	// lateWorks is the same, in usual works, for a request whose caller has been trying for so long that its objective is
 	// missed: it gets a free slot, but does not keep others waiting that can still meet theirs.
 	lateWorks = 2
-	// overloadRetryShare is the Retry-After of an overloaded service, as a share of the objective.
-	overloadRetryShare = 0.1
+	// refusalRetryShare is the Retry-After of a request that servers refused or that found them full, as a share of the
+	// objective: it can still be met then.
+	refusalRetryShare = 0.1
 )
 
 // serve brings a request to a server. The error is a *problem.Problem.
@@ -123,7 +125,7 @@
 // checkLoad refuses a request that would wait too long for its answer, or make one wait that needs it more.
 func (g *Gateway) checkLoad(c *call, choice balance.Choice, left time.Duration, now time.Time) *problem.Problem {
 	work, objective := g.work.work(c.route), c.route.Objective
-	limit, retry := time.Duration(overloadFactor*float64(objective)), time.Duration(overloadRetryShare*float64(objective))
+	limit, retry := time.Duration(overloadFactor*float64(objective)), refusalRetry(c.route)
 	freeSlotOnly := !balance.Urgent(objective, work) && g.Balancer.Urgent(c.service, now)
 	if c.waited+work > objective {
 		// There is no haste any more, so it comes back when there may be room.
@@ -136,6 +138,10 @@
 		c.service, choice.Busy, choice.Expected.Milliseconds(), limit.Milliseconds(), freeSlotOnly), min(retry, left/4))
 }
 
+func refusalRetry(r *routing.Route) time.Duration {
+	return time.Duration(refusalRetryShare * float64(r.Objective))
+}
+
 // mayRepeat decides whether another attempt may follow r, and pays for it.
 func (g *Gateway) mayRepeat(ctx context.Context, c *call, r result) bool {
 	switch {
