Servers that fit a request come before those that do not

The choice followed cost, in which lost answers weigh up to four objectives, so a server that worked twelve times slower than usual came out best; its answer was expected after 600 to 1,900 ms, and the request was refused because of it. Servers outside the limit of a request are now chosen last, like those that fail in more than 0.7 of their requests; 0.3 for requests that cannot be sent again, because a refused one can. The spec fails without the change (503 in place of 200).

--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -46,6 +46,12 @@
 	Work time.Duration
 	// Objective is the latency within which an answer is of full use.
 	Objective time.Duration
+	// Once says that the request cannot be sent again after a failure.
+	Once bool
+	// Within is the time within which an answer is of use, and FreeSlotOnly says that the request must not wait for a slot.
+	// Servers that do not fit are chosen last. Within 0: no limit.
+	Within       time.Duration
+	FreeSlotOnly bool
 	// Bytes is the expected size of the request and its answer together.
 	Bytes float64
 	// Exclude are servers that this request was sent to before.
@@ -60,6 +66,8 @@
 	Key    Key
 	// Expected is the time after which the answer is expected.
 	Expected time.Duration
+	// Fits says that the server fits the limits of the request.
+	Fits bool
 	// Busy is the number of requests in flight there, without this one.
 	Busy int
 	// Slowness is the factor that was expected, and FigureAge the age of the figure behind it; negative: none.
@@ -186,8 +194,9 @@
 		return Choice{}, false
 	}
 	slowness := best.slowness(svc, now)
-	c = Choice{Server: best.info, Key: best.key, Busy: best.total, Slowness: slowness, FigureAge: -1,
-		Expected: time.Duration(b.expected(svc, best, r, now) * float64(time.Millisecond))}
+	expected := b.expected(svc, best, r, now)
+	c = Choice{Server: best.info, Key: best.key, Busy: best.total, Slowness: slowness, FigureAge: -1, Fits: best.fits(r, expected),
+		Expected: time.Duration(expected * float64(time.Millisecond))}
 	if !best.figureAt.IsZero() {
 		c.FigureAge = now.Sub(best.figureAt)
 	}
--- a/pkg/balance/cost.go
+++ b/pkg/balance/cost.go
@@ -45,6 +45,11 @@
 	awayMax   = 4 * time.Second
 	// awayCost makes a server that did not answer the last choice, in ms.
 	awayCost = 10_000.0
+	// unfitCost keeps requests from a server that they would be refused for, while another one fits that fails at times: up to
+	// maxFailure, or maxFailureOnce for requests that cannot be sent again. A refused one can.
+	unfitCost      = 5_000.0
+	maxFailure     = 0.7
+	maxFailureOnce = 0.3
 	// tieBreak spreads requests over servers that are equally good, in ms.
 	tieBreak = 1.0
 )
@@ -52,7 +57,14 @@
 // cost is the expected time in ms, with what else speaks against a server.
 func (b *Balancer) cost(svc *service, s *server, r Request, now time.Time) float64 {
 	cost := b.expected(svc, s, r, now)
-	cost += s.failureShare(now) * failureCost * ms(r.Objective)
+	failure, most := s.failureShare(now), maxFailure
+	if r.Once {
+		most = maxFailureOnce
+	}
+	if !s.fits(r, cost) || failure > most {
+		cost += unfitCost
+	}
+	cost += failure * failureCost * ms(r.Objective)
 	kB := r.Bytes / 1e3
 	switch {
 	case s.info.Region != b.self.Region:
@@ -72,6 +84,11 @@
 	return cost
 }
 
+// fits reports whether a server whose answer is expected after some ms fits the limits of a request.
+func (s *server) fits(r Request, expected float64) bool {
+	return (r.Within == 0 || expected <= ms(r.Within)) && !(r.FreeSlotOnly && s.total >= s.info.Slots)
+}
+
 // expected is the time in ms until the answer of a server.
 func (b *Balancer) expected(svc *service, s *server, r Request, now time.Time) float64 {
 	work := ms(r.Work) * s.slowness(svc, now)
--- a/pkg/gateway/fixture_test.go
+++ b/pkg/gateway/fixture_test.go
@@ -159,9 +159,10 @@
 
 type fixture struct {
 	*gateway.Gateway
-	state   *directory.State
-	address string
-	retries *retrybudget.Budgets
+	state    *directory.State
+	balancer *balance.Balancer
+	address  string
+	retries  *retrybudget.Budgets
 }
 
 const (
@@ -188,7 +189,7 @@
 // start serves the backends in the order in which they are to be chosen. Without any nothing is configured.
 func start(backends ...*backend) *fixture {
 	b := balance.New(balance.Place{DataCentre: "d", Region: "r"}, 1)
-	f := &fixture{retries: retrybudget.New(0.2, 4)}
+	f := &fixture{retries: retrybudget.New(0.2, 4), balancer: b}
 	f.state = directory.NewState(clock.System{}, fixedCodec{table(1)}, b.SetServers)
 	snap := directory.Snapshot{Digest: directory.Digest{ConfigVersion: 1, ServersRevision: 1}, ConfigKey: "config", ConfigRecord: emptyGzip}
 	for i, target := range backends {
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -11,6 +11,8 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"github.com/hornbeamway/hornbeamway/pkg/balance"
 )
 
 // closes ends the connection without an answer.
@@ -237,6 +239,22 @@
 		Expect(wait).To(And(BeNumerically(">", 0), BeNumerically("<=", objective.Seconds()/5)))
 	})
 
+	// Guards against refusals while servers are free: those that lose answers at times looked worse than one that is far too
+	// slow, and the request was refused because of that one.
+	It("takes a server that fails at times before it refuses a request because of a slow one", func() {
+		failing, slow := startBackend(good), startBackend(good)
+		f := start(failing, slow)
+		servers := f.state.View().Servers
+		for range 2 {
+			f.balancer.LearnOutcome(balance.KeyOf(servers["s0"]), balance.Failed, time.Now())
+		}
+		f.balancer.Learn(balance.KeyOf(servers["s1"]), balance.Figure{Slowness: 5}, time.Now())
+		Expect(f.ask("POST", "/once/", "order").StatusCode).To(Equal(503), "an order that fails cannot be sent again")
+		Expect(failing.count()).To(BeZero())
+		Expect(f.ask("GET", "/safe/", "view").StatusCode).To(Equal(200))
+		Expect(failing.count()).To(Equal(1))
+	})
+
 	// Guards against callers that try again after an outage and, late as they are, make those late that come for the first time.
 	It("refuses a request that is late already before one that can still meet its objective", func() {
 		release := make(chan struct{})
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -110,34 +110,33 @@
 	if left < leastLeft {
 		return balance.Choice{}, notRun(problem.ReasonDeadline, "no time left to send the request", 0)
 	}
+	limit, freeSlotOnly, retry := g.loadLimit(c, left, now)
 	choice, ok := g.Balancer.Pick(balance.Request{
-		Service: c.service, Work: g.work.work(c.route), Objective: c.route.Objective,
-		Bytes: c.size() + g.work.answerBytes(c.route), Exclude: c.sent,
-		Connected: func(address string) bool { return g.Servers.HasIdle(address, c.route.Idempotent) },
+		Service: c.service, Work: g.work.work(c.route), Objective: c.route.Objective, Once: !c.route.Idempotent,
+		Within: limit, FreeSlotOnly: freeSlotOnly, Bytes: c.size() + g.work.answerBytes(c.route),
+		Exclude: c.sent, Connected: func(address string) bool { return g.Servers.HasIdle(address, c.route.Idempotent) },
 	}, now)
-	if !ok {
+	switch {
+	case !ok:
 		return choice, notRun(problem.ReasonNoServer, "no backend server of "+c.service, min(noServerRetry, left/4))
+	case choice.Fits || len(c.sent) > 0:
+		return choice, nil
 	}
-	if len(c.sent) == 0 {
-		return choice, g.checkLoad(c, choice, left, now)
-	}
-	return choice, nil
+	return choice, notRun(problem.ReasonQueueFull, fmt.Sprintf("backend servers of %s are full: busy %d, answer expected after %dms, limit %dms, free slot only %t",
+		c.service, choice.Busy, choice.Expected.Milliseconds(), limit.Milliseconds(), freeSlotOnly), min(retry, left/4))
 }
 
-// checkLoad refuses a request that would wait too long for its answer, or make one wait that needs it more.
-func (g *Gateway) checkLoad(c *call, choice balance.Choice, left time.Duration, now time.Time) *problem.Problem {
+// loadLimit returns the expected time above which a request is refused, whether it needs a free slot, and when it may come back
+// otherwise. A request that waits for longer would be late, or make one wait that needs the server more.
+func (g *Gateway) loadLimit(c *call, left time.Duration, now time.Time) (limit time.Duration, freeSlotOnly bool, retry time.Duration) {
 	work, objective := g.work.work(c.route), c.route.Objective
-	limit, retry := time.Duration(overloadFactor*float64(objective)), refusalRetry(c.route)
-	freeSlotOnly := !balance.Urgent(objective, work) && g.Balancer.Urgent(c.service, now)
+	limit, retry = time.Duration(overloadFactor*float64(objective)), refusalRetry(c.route)
+	freeSlotOnly = !balance.Urgent(objective, work) && g.Balancer.Urgent(c.service, now)
 	if c.waited+work > objective {
 		// There is no haste any more, so it comes back when there may be room.
 		limit, retry = min(limit, lateWorks*work), left
 	}
-	if choice.Expected <= limit && !(freeSlotOnly && choice.Busy >= choice.Server.Slots) {
-		return nil
-	}
-	return notRun(problem.ReasonQueueFull, fmt.Sprintf("backend servers of %s are full: busy %d, answer expected after %dms, limit %dms, free slot only %t",
-		c.service, choice.Busy, choice.Expected.Milliseconds(), limit.Milliseconds(), freeSlotOnly), min(retry, left/4))
+	return limit, freeSlotOnly, retry
 }
 
 // notReady refuses a request while this VM starts or stops.
