A request is in flight until its answer is written

The request was counted down when its answer had been handed to the HTTP library, so the process ended while the library was still writing. A connection now counts as busy from the first byte of a request until the next one is waited for or the connection ends. The spec fails without the change (0 in flight while the caller has not read its answer).

--- a/pkg/gateway/fixture_test.go
+++ b/pkg/gateway/fixture_test.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -169,6 +170,7 @@
 	routeTimeout = 600 * time.Millisecond
 	objective    = 200 * time.Millisecond
 	headerLimit  = 4 << 10
+	sendBuffer   = 16 << 10
 )
 
 func table(version int64) *routing.Table {
@@ -203,7 +205,13 @@
 	f.Gateway = gateway.New(gateway.Options{Clock: clock.System{}, Dialect: plainDialect{}, State: f.state, Balancer: b,
 		Splitter: routing.NewSplitter(0), Servers: upstream.NewTransport(upstream.Options{}), Retries: f.retries,
 		Tell: func(loadshare.Event) {}})
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	// Connections inherit the small buffer, so that an answer that the caller does not read is not taken by the kernel.
+	listen := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) {
+			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, sendBuffer)
+		})
+	}}
+	l, err := listen.Listen(context.Background(), "tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	f.address = l.Addr().String()
 	ctx, cancel := context.WithCancel(context.Background())
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -166,8 +166,14 @@
 	}
 }
 
-// InFlight returns the number of requests being served.
-func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
+// InFlight returns the number of requests being served, those included whose answers are still being written.
+func (g *Gateway) InFlight() int64 {
+	served := g.inFlight.Load()
+	if l := g.listener.Load(); l != nil {
+		served = max(served, int64(l.Busy()))
+	}
+	return served
+}
 
 // Connections returns the number of open connections of callers.
 func (g *Gateway) Connections() int {
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -274,6 +274,22 @@
 		Eventually(b.count).Should(Equal(4))
 	})
 
+	// Guards against a process that ends while an answer is on its way over a narrow link: the request no longer counted as in
+	// flight once its answer had been handed to the HTTP library.
+	It("counts a request as in flight until its answer is written", func() {
+		large := strings.Repeat("x", 900<<10)
+		b := startBackend(func(r *received, c net.Conn) bool { return write(c, r, 200, large, "Proof: p") })
+		f := start(b)
+		c := f.dial()
+		Expect(c.Conn.(*net.TCPConn).SetReadBuffer(64 << 10)).To(Succeed())
+		c.send("GET", "/safe/", "download", nil)
+		Eventually(b.count).Should(Equal(1))
+		time.Sleep(100 * time.Millisecond)
+		Expect(f.InFlight()).To(BeEquivalentTo(1))
+		Expect(len(c.receive().body)).To(Equal(len(large)))
+		Eventually(f.InFlight).Should(BeZero())
+	})
+
 	It("streams large bodies in both directions byte for byte", func() {
 		large := strings.Repeat("0123456789abcdef", 3<<16)
 		b := startBackend(func(r *received, c net.Conn) bool { return write(c, r, 200, large, "Proof: p") })
--- a/pkg/ingress/conn.go
+++ b/pkg/ingress/conn.go
@@ -36,6 +36,7 @@
 
 	mu      sync.Mutex
 	waiting bool // for the first byte of a request
+	busy    bool // from that byte to the last one of the answer
 	stopped bool
 }
 
@@ -97,14 +98,14 @@
 func (c *Conn) wait() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.waiting = true
+	c.waiting, c.busy = true, false
 	return !c.stopped
 }
 
 func (c *Conn) received(p []byte) {
 	if !c.head.started {
 		c.mu.Lock()
-		c.waiting = false
+		c.waiting, c.busy = false, true
 		c.mu.Unlock()
 	}
 	c.behind += int64(len(p) - c.head.scan(p))
@@ -120,6 +121,13 @@
 	}
 }
 
+// serving reports whether a request has begun to arrive whose answer is not written to its end.
+func (c *Conn) serving() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.busy
+}
+
 // Linger says that the other side may still be sending when the connection is closed.
 func (c *Conn) Linger() { c.linger = true }
 
--- a/pkg/ingress/listener.go
+++ b/pkg/ingress/listener.go
@@ -3,12 +3,15 @@
 package ingress
 
 import (
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/samber/lo"
 )
 
 var connectionsRefused = metrics.NewCounter(`hornbeamway_caller_connections_refused_total`)
@@ -90,16 +93,21 @@
 func (l *Listener) Stop() {
 	l.mu.Lock()
 	l.stopping = true
-	open := make([]*Conn, 0, len(l.open))
-	for c := range l.open {
-		open = append(open, c)
-	}
+	open := slices.Collect(maps.Keys(l.open))
 	l.mu.Unlock()
 	for _, c := range open {
 		c.stop()
 	}
 }
 
+// Busy returns the number of connections with a request whose answer is not written to its end.
+func (l *Listener) Busy() int {
+	l.mu.Lock()
+	open := slices.Collect(maps.Keys(l.open))
+	l.mu.Unlock()
+	return lo.CountBy(open, (*Conn).serving)
+}
+
 // Open returns the number of open connections.
 func (l *Listener) Open() int {
 	l.mu.Lock()
