entryvm: a stopping VM sends only requests that end before its exit

Callers saw the connections of orders end without an answer although the orders ran: sent on open connections 3.0 s to 7.2 s after the stop signal of a VM with a shutdown timeout of 10 s.

Cause: requests were accepted until 2.8 s before the end of the shutdown timeout and cut off 0.4 s before it, whatever their deadline. The VM's log shows 12 requests in flight at the exit, accepted 0.6 s before the refusals began.

Change: from 2.9 s after the signal, when only open connections bring requests, a request is sent to a server only if its deadline is 0.1 s or more before the exit. Others are refused as not run. The check stands where a server is chosen, which covers requests that are received slowly or wait.

--- a/pkg/entryvm/entryvm_test.go
+++ b/pkg/entryvm/entryvm_test.go
@@ -39,6 +39,9 @@
 		{"type":"services","metadata":{"name":"orders"},"spec":{"health_path":"/healthz","max_conns":100}},
 		{"type":"limits","spec":{"max_header_bytes":16384,"max_body_bytes":1000000,"header_timeout_ms":3000,"idle_timeout_ms":15000}}]}`
 	shutdownTimeout = 4 * time.Second
+	// heavyOrder is the id of an order that takes heavyWork longer than others.
+	heavyOrder = "heavy"
+	heavyWork  = 4 * time.Second
 )
 
 // freeAddresses returns n different loopback addresses on which nothing listens.
@@ -80,6 +83,7 @@
 		settings *entryvm.Settings
 		store    *logservice.Service
 		server   *platformserver.Server
+		ran      atomic.Int64
 		reloads  atomic.Int64
 		stop     context.CancelFunc
 		stopped  chan struct{}
@@ -95,15 +99,18 @@
 		return resp.StatusCode
 	}
 
+	writeOrder := func(conn net.Conn, id string) {
+		_, err := fmt.Fprintf(conn, "POST /order/x HTTP/1.1\r\nHost: shop.example\r\n%s: %s\r\n%s: 3000\r\nContent-Length: 0\r\n\r\n",
+			platformserver.HeaderRequestID, id, platformserver.HeaderDeadline)
+		Expect(err).NotTo(HaveOccurred())
+	}
 	// sendOrder sends an order on a new connection and returns the connection and a reader of the response.
 	sendOrder := func(id string) (net.Conn, *bufio.Reader) {
 		conn, err := net.Dial("tcp", settings.Callers)
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(conn.Close)
 		Expect(conn.SetDeadline(time.Now().Add(5 * time.Second))).To(Succeed())
-		_, err = fmt.Fprintf(conn, "POST /order/x HTTP/1.1\r\nHost: shop.example\r\n%s: %s\r\n%s: 3000\r\nContent-Length: 0\r\n\r\n",
-			platformserver.HeaderRequestID, id, platformserver.HeaderDeadline)
-		Expect(err).NotTo(HaveOccurred())
+		writeOrder(conn, id)
 		return conn, bufio.NewReader(conn)
 	}
 	readResponse := func(r *bufio.Reader) (int, string, bool) {
@@ -128,7 +135,12 @@
 		go func() { _ = store.Serve(l) }()
 		DeferCleanup(store.Close)
 		server, err = platformserver.Start("i-1", "orders", "127.0.0.1:0", 400*time.Millisecond,
-			func(*platformserver.Server, string) {})
+			func(_ *platformserver.Server, id string) {
+				ran.Add(1)
+				if id == heavyOrder {
+					time.Sleep(heavyWork)
+				}
+			})
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(server.Close)
 		free := freeAddresses(3)
@@ -137,6 +149,7 @@
 			ShutdownTimeout: shutdownTimeout, RetryBudgetRatio: 0.2, RetryBudgetSlack: 10}
 		Expect(settings.Check()).To(Succeed())
 		reloads.Store(0)
+		ran.Store(0)
 		var ctx context.Context
 		ctx, stop = context.WithCancel(context.Background())
 		stopped = make(chan struct{})
@@ -240,6 +253,27 @@
 		}
 	})
 
+	// Guards against an order that a stopping VM accepts on an open connection, passes on to a server and cuts off at its exit,
+	// because its deadline is later than the exit: the caller could not know whether the order had run.
+	It("refuses, as not run, an order on an open connection that may not finish before the exit", func() {
+		const sentAfter = 3800 * time.Millisecond // once the platform sends no new connections, before all requests are refused
+		settings.ShutdownTimeout = 7 * time.Second
+		publishConfiguration()
+		Eventually(readiness, "5s").Should(Equal(http.StatusOK))
+		conn, r := sendOrder("usual")
+		code, body, _ := readResponse(r)
+		Expect(code).To(Equal(http.StatusOK), body)
+		stop()
+		time.Sleep(sentAfter)
+		Expect(conn.SetDeadline(time.Now().Add(5 * time.Second))).To(Succeed())
+		writeOrder(conn, heavyOrder)
+		code, body, closes := readResponse(r)
+		Expect(code).To(Equal(http.StatusServiceUnavailable), body)
+		Expect(closes).To(BeTrue())
+		Expect(ran.Load()).To(BeEquivalentTo(1))
+		Eventually(stopped, settings.ShutdownTimeout).Should(BeClosed())
+	})
+
 	// Guards against VMs that refuse each other's snapshots because they reach the store at different addresses: a VM that started
 	// while the store was away then served nothing until its return.
 	It("starts from the state of another VM while it cannot reach the store", func() {
--- a/pkg/entryvm/lifecycle.go
+++ b/pkg/entryvm/lifecycle.go
@@ -24,8 +24,13 @@
 	// refusalMargin is the time before the end of the shutdown timeout from which new requests are refused, so that those
 	// accepted before can finish.
 	refusalMargin = 2800 * time.Millisecond
+	// answerMargin is the time between the latest deadline of an accepted request and the exit, in which its response is written.
+	answerMargin = 100 * time.Millisecond
 	// healthCheckDetectionTime is the time within which the platform detects failing health checks.
 	healthCheckDetectionTime = 3 * time.Second
+	// deadlineLimitDelay is the time after the stop signal from which requests are refused whose deadline is not before the exit. It
+	// is a little shorter than healthCheckDetectionTime, so that a request sent after that time is always checked.
+	deadlineLimitDelay = healthCheckDetectionTime - 100*time.Millisecond
 	// quietPeriod is the time without a new connection after which the process may exit: connections that wait in the queue of the
 	// listener would be reset.
 	quietPeriod = 150 * time.Millisecond
@@ -110,23 +115,31 @@
 	}
 }
 
-// drain fails the health checks and waits until no request is in flight. New requests are refused from refusalMargin before
-// the end of the shutdown timeout. Before that, drain returns only after healthCheckDetectionTime and without open
-// connections, and at any time only after quietPeriod. It returns at the latest exitMargin before the end of the timeout.
+// drain fails the health checks and waits until no request is in flight. After deadlineLimitDelay, when only open connections bring
+// further requests, those whose deadline is not before the exit are refused: they could be cut off while a server runs them. From refusalMargin before the end of the shutdown timeout all new requests are refused. Before that, drain
+// returns only after healthCheckDetectionTime and without open connections, and at any time only after quietPeriod. It returns at
+// the latest exitMargin before the end of the timeout.
 func (v *vm) drain() {
 	started := time.Now()
 	klog.InfoS("received stop signal; health checks now fail",
 		"inFlight", v.gateway.InFlight(), "connections", v.gateway.Connections())
 	v.gateway.Drain()
-	for refused := false; ; time.Sleep(drainPollInterval) {
+	exitAfter := v.settings.ShutdownTimeout - exitMargin
+	for limited, refused := false, false; ; time.Sleep(drainPollInterval) {
 		elapsed := time.Since(started)
+		if !limited && elapsed >= deadlineLimitDelay {
+			limited = true
+			v.gateway.RefuseDeadlinesAfter(started.Add(exitAfter - answerMargin))
+			klog.InfoS("refusing requests whose deadline is after the exit", "inFlight", v.gateway.InFlight(),
+				"connections", v.gateway.Connections(), "exitIn", exitAfter-elapsed)
+		}
 		if !refused && elapsed >= v.settings.ShutdownTimeout-refusalMargin {
 			refused = true
 			v.gateway.Refuse()
 			klog.InfoS("refusing new requests", "inFlight", v.gateway.InFlight(), "connections", v.gateway.Connections())
 		}
 		idle := v.gateway.InFlight() == 0 && v.gateway.QuietFor() >= quietPeriod
-		if elapsed >= v.settings.ShutdownTimeout-exitMargin || idle && refused ||
+		if elapsed >= exitAfter || idle && refused ||
 			idle && elapsed >= healthCheckDetectionTime && v.gateway.Connections() == 0 {
 			return
 		}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -67,7 +67,9 @@
 	estimates *routeEstimates
 	draining  atomic.Bool
 	refusing  atomic.Bool
-	inFlight  atomic.Int64
+	// lastDeadline is the latest deadline of a request that is still sent to a server; nil: no limit.
+	lastDeadline atomic.Pointer[time.Time]
+	inFlight     atomic.Int64
 	// waiting is the number of requests that wait for a server with spare slots.
 	waiting   atomic.Int64
 	startedAt time.Time
@@ -164,6 +166,10 @@
 // Drain makes Ready return false and closes each connection after its next response. Requests are still served.
 func (g *Gateway) Drain() { g.draining.Store(true) }
 
+// RefuseDeadlinesAfter makes the gateway refuse, as not run, every request that has not been sent to a server and whose deadline is
+// later than t, because it may not finish before the process exits.
+func (g *Gateway) RefuseDeadlinesAfter(t time.Time) { g.lastDeadline.Store(&t) }
+
 // Refuse makes the gateway refuse every further request as not run, and closes the connections that are idle.
 func (g *Gateway) Refuse() {
 	g.refusing.Store(true)
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -56,6 +56,18 @@
 		Expect(b.count()).To(Equal(2))
 	})
 
+	// Guards against a stopping VM that accepts a request which may still run at its exit, or that turns away one that ends in time.
+	It("refuses only requests whose deadline is later than the limit", func() {
+		b := startBackend(respondCorrectly)
+		f := startGateway(b)
+		f.RefuseDeadlinesAfter(time.Now().Add(routeTimeout / 2))
+		Expect(f.roundTrip("POST", "/once/", "late").StatusCode).To(Equal(503))
+		Expect(b.count()).To(BeZero())
+		c := f.dial()
+		c.sendWaiting(routeTimeout/6, "POST", "/once/", "in time", nil)
+		Expect(c.receive().StatusCode).To(Equal(200))
+	})
+
 	// Guards against an order that is placed twice because its first server closed the connection.
 	It("sends a non-idempotent request to one server only, and reports an unknown outcome", func() {
 		first, second := startBackend(closeWithoutResponse), startBackend(respondCorrectly)
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -108,6 +108,10 @@
 	if left < minTimeLeft {
 		return balance.Choice{}, notRun(problem.ReasonDeadline, "no time left to send the request", 0)
 	}
+	// Checked here and not on arrival, because a request may be received slowly or wait for a server.
+	if last := g.lastDeadline.Load(); last != nil && c.deadline.After(*last) && len(c.sentTo) == 0 {
+		return balance.Choice{}, notRun(problem.ReasonNotReady, "this VM exits before the deadline of the request", minRetryAfter)
+	}
 	limits := newAdmission(g.estimates.work(c.route), c.route.Objective, c.priorWait, left)
 	wait, elapsed := g.waitLimits(c), now.Sub(c.arrivedAt)
 	limits.freeSlots = max(limits.freeSlots, wait.freeSlots(elapsed))
