gateway: count and log responses that do not name the request

A refusal that a server sent once more on a kept connection could not be told from the refusal of the request itself: both gave the same line, and responses that were skipped as late left no trace. hornbeamway_gateway_foreign_responses_total counts them, split by whether they name another request or none, and a log line names the request, the server, the status and whether the response says 'not run'.

No change of behaviour.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
+	"k8s.io/klog/v2"
 
 	"github.com/hornbeamway/hornbeamway/pkg/balance"
 	"github.com/hornbeamway/hornbeamway/pkg/ingress"
@@ -66,10 +67,7 @@
 	err := g.Servers.RoundTrip(sendCtx, upstream.Attempt{
 		Address: a.choice.Server.Address, Idempotent: a.route.Idempotent, Deadline: a.deadline,
 		BeforeWrite: func() error { return ctx.Err() },
-		AcceptResponse: func(h *fasthttp.ResponseHeader) bool {
-			id := g.Dialect.Answer(h).RequestID
-			return id == "" || id == a.id
-		},
+		AcceptResponse: a.acceptResponse,
 	}, a.req, a.resp)
 	var answer Answer
 	if err == nil {
@@ -102,6 +100,18 @@
 	return r
 }
 
+// acceptResponse reports whether a response belongs to this request. Others are counted and logged.
+func (a *attempt) acceptResponse(h *fasthttp.ResponseHeader) bool {
+	answer := a.gateway.Dialect.Answer(h)
+	if answer.RequestID == a.id {
+		return true
+	}
+	countForeignResponse(answer.RequestID)
+	klog.InfoS("a response does not name the request", "id", a.id, "server", a.choice.Server.ID, "named", answer.RequestID,
+		"status", h.StatusCode(), "notRun", answer.NotRun)
+	return answer.RequestID == ""
+}
+
 // responseBodySize returns the size of the response body in bytes. For a stream, which must not be read here, it returns the
 // Content-Length, or 0 if that is not known.
 func (a *attempt) responseBodySize() int {
--- a/pkg/gateway/record.go
+++ b/pkg/gateway/record.go
@@ -33,6 +33,15 @@
 	metrics.GetOrCreateCounter(fmt.Sprintf(`hornbeamway_gateway_refusals_total{reason=%q,outcome=%q}`, p.Reason, p.Outcome)).Inc()
 }
 
+// countForeignResponse counts a response of a server that names another request, or none.
+func countForeignResponse(requestID string) {
+	named := "other"
+	if requestID == "" {
+		named = "none"
+	}
+	metrics.GetOrCreateCounter(`hornbeamway_gateway_foreign_responses_total{named="` + named + `"}`).Inc()
+}
+
 // recordAttempt counts an attempt and adds it to the trace of the call: its server, the load on which the choice was based, and
 // its result.
 func (c *call) recordAttempt(r result) {
