gateway: believe only responses that name the request

Callers saw orders run twice, or answered 503 'not run' that had run.

Cause: a response that names no request was taken for that of the request on the connection. The second copy of a refused health check names none; its 'not run' was believed for an order that the server ran.

Ruled out by reading: an attempt counts as not sent only if no byte was written; a non-idempotent request is never hedged, and no attempt goes on after the answer.

Change: responses that name no request are skipped like those that name another. The stand-in server refuses requests and health checks, repeats refusals and cuts heads on demand; the soak uses these and has quiet spells in which VMs probe.

--- a/internal/lab/soak/callers.go
+++ b/internal/lab/soak/callers.go
@@ -17,8 +17,11 @@
 const (
 	// callerTimeout bounds one request, from its start to the end of its response.
 	callerTimeout = 2 * time.Second
-	// thinkTime is the mean pause between two requests of a caller.
-	thinkTime = 25 * time.Millisecond
+	// thinkTime is the mean pause between two requests of a caller, and quietThinkTime the one in every second spellDuration, in
+	// which load reports become stale and the VMs probe servers.
+	thinkTime      = 25 * time.Millisecond
+	quietThinkTime = 300 * time.Millisecond
+	spellDuration  = 2 * time.Second
 	// bodyShare is the share of the requests on safe routes that are sent with POST and a body.
 	bodyShare = 0.3
 	// abandonShare is the share of the requests whose connection is closed before the response is read.
@@ -107,7 +110,7 @@
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(time.Duration(rand.Int64N(int64(2 * thinkTime)))):
+		case <-time.After(rand.N(2 * currentThinkTime())):
 		}
 	}
 	if c.conn != nil {
@@ -115,6 +118,13 @@
 	}
 }
 
+func currentThinkTime() time.Duration {
+	if time.Now().UnixMilli()/spellDuration.Milliseconds()%2 == 0 {
+		return thinkTime
+	}
+	return quietThinkTime
+}
+
 func (c *caller) dial() {
 	c.vm = c.balancer.pickVM()
 	conn, err := net.DialTimeout("tcp", c.vm.callersAddress(), time.Second)
--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -138,7 +138,8 @@
 			return
 		}
 		s.SetFaults([]platformserver.Faults{{Slowdown: 5}, {DropResponse: 0.3}, {TruncateResponse: 0.3}, {DuplicateResponse: 0.3},
-			{Unsigned: 0.3}, {Failed: 0.5}, {RefuseBeforeBody: 0.5}, {Hang: true}}[draw/victimRange%8])
+			{Unsigned: 0.3}, {Failed: 0.5}, {RefuseBeforeBody: 0.5}, {Hang: true}, {Refuse: 0.3, DuplicateRefusal: 0.5},
+			{TruncateHead: 0.3}}[draw/victimRange%10])
 		sleep(ctx, 3*time.Second)
 		s.SetFaults(platformserver.Faults{})
 	}},
--- a/internal/lab/soak/harness.go
+++ b/internal/lab/soak/harness.go
@@ -252,7 +252,7 @@
 	var items []map[string]any
 	for i, r := range routes {
 		items = append(items, map[string]any{"type": "routes", "metadata": map[string]string{"name": r.name}, "spec": map[string]any{
-			"host": "soak.example", "path_prefix": r.prefix, "kind": r.kind, "timeout_ms": 1000, "target_latency_ms": 200,
+			"host": "soak.example", "path_prefix": r.prefix, "kind": r.kind, "timeout_ms": 1000, "target_latency_ms": 60,
 			"priority": i, "service": r.allowed[h.routeServices[i]], "max_attempts": 2}})
 	}
 	for _, s := range services {
--- a/internal/standin/platformserver/server.go
+++ b/internal/standin/platformserver/server.go
@@ -37,8 +37,10 @@
 	// These are probabilities from 0 to 1. DropResponse closes the connection after the request has run, without a response.
 	// TruncateResponse closes it within the response. DuplicateResponse responds twice, the second time with a delay.
 	// Unsigned omits the signature. Failed responds with 500. RefuseBeforeBody refuses a request before its body has been
-	// read.
+	// read. Refuse refuses requests and health checks as not run. DuplicateRefusal sends a refusal twice, the second time with a
+	// delay. TruncateHead closes the connection within the head of the response.
 	DropResponse, TruncateResponse, DuplicateResponse, Unsigned, Failed, RefuseBeforeBody float64
+	Refuse, DuplicateRefusal, TruncateHead                                                float64
 	// Hang accepts requests but neither runs nor answers them.
 	Hang bool
 }
@@ -170,12 +172,14 @@
 	switch {
 	case req.URL.Path == HealthPath && s.failHealthChecks.Load():
 		return s.writeResponse(c, 503, "", "")
-	case req.URL.Path == HealthPath:
+	case req.URL.Path == HealthPath && rand.Float64() >= f.Refuse:
 		return s.writeResponse(c, 200, "", "")
+	case req.URL.Path == HealthPath:
+		return s.writeRefusal(c, id, f) // without an id, because health checks state none
 	case req.Header.Get(headerExpectedInstance) != "" && req.Header.Get(headerExpectedInstance) != s.ID:
 		return s.writeResponse(c, 421, id, "")
-	case refuseEarly, s.queued.Load() >= queueLimit:
-		return s.writeResponse(c, 503, id, "", HeaderNotRun+": 1")
+	case refuseEarly, s.queued.Load() >= queueLimit, rand.Float64() < f.Refuse:
+		return s.writeRefusal(c, id, f)
 	}
 	if f.Hang {
 		_, _ = reader.Peek(1)
@@ -196,7 +200,7 @@
 	case keepConnection:
 		keepConnection = s.writeResult(c, id, f)
 	case ctx.Err() == nil:
-		keepConnection = s.writeResponse(c, 503, id, "", HeaderNotRun+": 1")
+		keepConnection = s.writeRefusal(c, id, f)
 	}
 	if keepConnection {
 		// The reader can be used again when the next request has started to arrive.
@@ -243,6 +247,18 @@
 	return text
 }
 
+// writeRefusal states that a request was not run, subject to the faults f, and reports whether the connection is kept open.
+func (s *Server) writeRefusal(c net.Conn, id string, f Faults) bool {
+	if !s.writeResponse(c, 503, id, "", HeaderNotRun+": 1") {
+		return false
+	}
+	if rand.Float64() >= f.DuplicateRefusal {
+		return true
+	}
+	time.Sleep(rand.N(maxSecondResponseDelay))
+	return s.writeResponse(c, 503, id, "", HeaderNotRun+": 1")
+}
+
 // writeResult writes the response to a request that has run, subject to the faults f, and reports whether the connection is
 // kept open.
 func (s *Server) writeResult(c net.Conn, id string, f Faults) bool {
@@ -250,6 +266,10 @@
 	switch draw := rand.Float64(); {
 	case draw < f.DropResponse:
 		return false
+	case rand.Float64() < f.TruncateHead:
+		head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s\r\nContent-Length: 900\r\n\r\n", HeaderRequestID, id, signatureHeader)
+		_, _ = io.WriteString(c, head[:rand.IntN(len(head))])
+		return false
 	case draw < f.DropResponse+f.TruncateResponse:
 		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: 900\r\n%s: %s\r\n%s\r\n\r\nhalf",
 			HeaderRequestID, id, signatureHeader)
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -100,7 +100,9 @@
 	return r
 }
 
-// acceptResponse reports whether a response belongs to this request. Others are counted and logged.
+// acceptResponse reports whether a response belongs to this request, that is, whether it names the request. Others are skipped. A
+// response that names none may be the second copy of an earlier one, for example of the refusal of a health check, whose "not run"
+// would otherwise be taken for that of a request which the server runs.
 func (a *attempt) acceptResponse(h *fasthttp.ResponseHeader) bool {
 	answer := a.gateway.Dialect.Answer(h)
 	if answer.RequestID == a.id {
@@ -109,7 +111,7 @@
 	countForeignResponse(answer.RequestID)
 	klog.InfoS("a response does not name the request", "id", a.id, "server", a.choice.Server.ID, "named", answer.RequestID,
 		"status", h.StatusCode(), "notRun", answer.NotRun)
-	return answer.RequestID == ""
+	return false
 }
 
 // responseBodySize returns the size of the response body in bytes. For a stream, which must not be read here, it returns the
@@ -162,8 +164,8 @@
 	return nil
 }
 
-// classifyResponse returns the result for the response of a server. A response is relayed only if it names this request, and a
-// success only if the server has signed it.
+// classifyResponse returns the result for a response that acceptResponse has accepted. A success is relayed only if the server has
+// signed it.
 func (a *attempt) classifyResponse(answer Answer) result {
 	status := a.resp.StatusCode()
 	switch {
@@ -173,8 +175,6 @@
 	case answer.NotRun:
 		return result{outcome: balance.Full, notRun: true, mayHaveArrived: true, detail: "refused by the server as not run",
 			err: notRun(problem.ReasonQueueFull, "the backend server did not run the request", refusalRetryAfter(a.route))}
-	case answer.RequestID != a.id:
-		return invalidResponseResult("the answer names no request")
 	case !answer.Signed && status < fasthttp.StatusMultipleChoices:
 		return invalidResponseResult("a success without the server's proof")
 	case status == fasthttp.StatusServiceUnavailable, status == fasthttp.StatusTooManyRequests,
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -68,6 +68,35 @@
 		Expect(c.receive().StatusCode).To(Equal(200))
 	})
 
+	// Guards against a second copy of an earlier refusal, such as that of a health check, which names no request: taken for the
+	// refusal of the order that the server runs, it had the order sent to a second server, or refused as not run.
+	DescribeTable("does not believe a refusal that does not name the request", func(refusal string) {
+		first := startBackend(func(r *receivedRequest, c net.Conn) bool {
+			_, _ = io.WriteString(c, refusal)
+			return respondCorrectly(r, c)
+		})
+		second := startBackend(respondCorrectly)
+		a := startGateway(first, second).roundTrip("POST", "/once/", "order")
+		Expect(a.StatusCode).To(Equal(200))
+		Expect(a.body).To(Equal("answer to order"))
+		Expect(second.count()).To(BeZero())
+	},
+		Entry("of a health check", "HTTP/1.1 503 X\r\nContent-Length: 0\r\nNot-Run: 1\r\n\r\n"),
+		Entry("of another server", "HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n"),
+		Entry("of another order", "HTTP/1.1 503 X\r\nContent-Length: 0\r\nNot-Run: 1\r\nId: earlier\r\n\r\n"),
+	)
+
+	// Guards against the promise "not run" for an order whose server sends such a refusal and then closes the connection.
+	It("reports an unknown outcome if only a refusal arrives that does not name the request", func() {
+		first := startBackend(func(_ *receivedRequest, c net.Conn) bool {
+			_, _ = io.WriteString(c, "HTTP/1.1 503 X\r\nContent-Length: 0\r\nNot-Run: 1\r\n\r\n")
+			return false
+		})
+		second := startBackend(respondCorrectly)
+		Expect(startGateway(first, second).roundTrip("POST", "/once/", "order").StatusCode).To(Equal(502))
+		Expect(second.count()).To(BeZero())
+	})
+
 	// Guards against an order that is placed twice because its first server closed the connection.
 	It("sends a non-idempotent request to one server only, and reports an unknown outcome", func() {
 		first, second := startBackend(closeWithoutResponse), startBackend(respondCorrectly)
