gateway: test that no response is relayed whose head or body breaks off

Operators of similar systems saw a 200 with an empty or short body, framed as whole, when a server stopped within its answer's head. Here it does not happen: a head without its end is an error and the outcome unknown.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -66,7 +66,7 @@
 	sendCtx, detach, cancel := a.sendContext(ctx, superseded)
 	err := g.Servers.RoundTrip(sendCtx, upstream.Attempt{
 		Address: a.choice.Server.Address, Idempotent: a.route.Idempotent, Deadline: a.deadline,
-		BeforeWrite: func() error { return ctx.Err() },
+		BeforeWrite:    func() error { return ctx.Err() },
 		AcceptResponse: a.acceptResponse,
 	}, a.req, a.resp)
 	var answer Answer
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -97,6 +98,26 @@
 		Expect(second.count()).To(BeZero())
 	})
 
+	// Guards against a head that breaks off and is read as that of a complete response: the caller got a 200 with an empty or short
+	// body, framed as whole.
+	It("never relays a response whose head or body breaks off", func() {
+		const response = "HTTP/1.1 200 OK\r\nId: order\r\nProof: p\r\nContent-Length: 4\r\n\r\nbody"
+		const chunked = "HTTP/1.1 200 OK\r\nId: order\r\nProof: p\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"
+		var whole string
+		var cut atomic.Int64
+		f := startGateway(startBackend(func(_ *receivedRequest, c net.Conn) bool {
+			_, _ = io.WriteString(c, whole[:cut.Load()])
+			return false
+		}))
+		for _, whole = range []string{response, chunked} {
+			for n := range len(whole) {
+				cut.Store(int64(n))
+				a := f.roundTrip("POST", "/once/", "order")
+				Expect(a.StatusCode).To(Equal(502), "%q", whole[:n])
+			}
+		}
+	})
+
 	// Guards against an order that is placed twice because its first server closed the connection.
 	It("sends a non-idempotent request to one server only, and reports an unknown outcome", func() {
 		first, second := startBackend(closeWithoutResponse), startBackend(respondCorrectly)
