--- a/pkg/entryvm/entryvm_test.go
+++ b/pkg/entryvm/entryvm_test.go
@@ -183,6 +183,51 @@
 		Expect(closes).To(BeFalse())
 	})
 
+	// Guards against a VM that ends, or stops following the list of servers, because of an odd entry of another writer: very deeply
+	// nested, with a number too large, or with a port out of range.
+	It("follows the list of servers past odd entries", func() {
+		entry := `{"service":"orders","address":"%s","zone":"d","version":"v1","slots":%s,"state":"ready","warmup_left_ms":%s,"seq":%s,"born":%s}`
+		elsewhere, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(elsewhere.Close)
+		var connections atomic.Int64
+		go func() {
+			for {
+				if _, err := elsewhere.Accept(); err != nil {
+					return
+				}
+				connections.Add(1)
+			}
+		}()
+		usual := elsewhere.Addr().String()
+		for i, odd := range []string{
+			`{"service":` + strings.Repeat("[", 100000),
+			fmt.Sprintf(entry, "127.0.0.1:70000", "3", "0", "1", "1"),
+			fmt.Sprintf(entry, "127.0.0.1:0", "3", "0", "1", "1"),
+			fmt.Sprintf(entry, usual, "1e300", "0", "1", "1"),
+			fmt.Sprintf(entry, usual, "3", "1e300", "1", "1"),
+			fmt.Sprintf(entry, usual, "3", "0", "1e300", "1"),
+			fmt.Sprintf(entry, usual, "3", "0", "1", "9223372036854775807"),
+			fmt.Sprintf(entry, usual, "3", "0", "1", "1e999"),
+		} {
+			store.Put("keyed.servers", fmt.Sprint("odd-", i), []byte(odd))
+		}
+		publishConfiguration()
+		Eventually(readiness, "5s").Should(Equal(http.StatusOK))
+		for i := range 12 {
+			_, r := sendOrder(fmt.Sprint("order-", i))
+			code, body, _ := readResponse(r)
+			Expect(code).To(Equal(http.StatusOK), body)
+		}
+		Expect(connections.Load()).To(BeZero(), "connections to the addresses of odd entries")
+		store.Put("keyed.servers", server.ID, nil)
+		Eventually(func() int {
+			_, r := sendOrder("without a server")
+			code, _, _ := readResponse(r)
+			return code
+		}, "5s", "100ms").Should(Equal(http.StatusServiceUnavailable))
+	})
+
 	// Guards against a planned stop that cuts off a request, or that refuses requests before the platform has detected the
 	// failing health checks.
 	It("keeps serving after the stop signal, closes connections with each response, and exits in time", func() {
--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -226,12 +226,15 @@
 	return x.resp.SkipBody || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified
 }
 
+// maxKeepAlive bounds the stated keep-alive time; a larger number could overflow a duration.
+const maxKeepAlive = 24 * time.Hour
+
 // readKeepAlive parses the Keep-Alive header, which states how long the remote side keeps an idle connection open.
 func (x *exchange) readKeepAlive() {
 	for parameter := range bytes.SplitSeq(x.resp.Header.Peek("Keep-Alive"), []byte(",")) {
 		name, value, _ := bytes.Cut(bytes.TrimSpace(parameter), []byte("="))
 		if seconds, err := strconv.Atoi(string(value)); err == nil && seconds > 0 && bytes.EqualFold(name, []byte("timeout")) {
-			x.conn.remoteKeepAlive = time.Duration(seconds) * time.Second
+			x.conn.remoteKeepAlive = time.Duration(min(seconds, int(maxKeepAlive/time.Second))) * time.Second
 		}
 	}
 }
