gateway: give back the connection of each response that is not relayed

Cause: a body of over 16 KiB is a stream that holds its connection. It was dropped without being closed when it broke off while it was read into memory, when the response was not relayed (unsigned, or a failure before a retry), and when it belonged to the later of two hedged attempts. The connection stayed in the count of its server until the limit was reached.

Change: an attempt closes the body of each response that it does not pass on, and the attempts that outlive the answer are awaited and closed. New gauge hornbeamway_upstream_open_connections.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -86,6 +86,7 @@
 		detach()
 		stream.OnClose(cancel)
 	} else {
+		a.releaseResponse()
 		cancel()
 	}
 	if r.delivered {
@@ -114,6 +115,13 @@
 	return false
 }
 
+// releaseResponse gives back the connection of a response that is not relayed, if its body is still a stream.
+func (a *attempt) releaseResponse() {
+	if err := a.resp.CloseBodyStream(); err != nil {
+		klog.InfoS("failed to close the body of a response", "id", a.id, "server", a.choice.Server.ID, "err", err)
+	}
+}
+
 // responseBodySize returns the size of the response body in bytes. For a stream, which must not be read here, it returns the
 // Content-Length, or 0 if that is not known.
 func (a *attempt) responseBodySize() int {
--- /dev/null
+++ b/pkg/gateway/connection_test.go
@@ -0,0 +1,114 @@
+package gateway_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// Sizes of response bodies in bytes: streamBody is read as a stream and then buffered, largeBody is relayed as a stream.
+const (
+	streamBody = 100 << 10
+	largeBody  = 3 << 20
+)
+
+// writePart writes the head of a response with a body of length bytes, and part bytes of that body.
+func writePart(r *receivedRequest, c net.Conn, status, length, part int, headers ...string) {
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 %d X\r\nContent-Length: %d\r\nId: %s\r\n%s\r\n", status, length, r.Header.Get("Id"),
+		strings.Join(append(headers, ""), "\r\n"))
+	_, _ = io.WriteString(c, strings.Repeat("x", part))
+}
+
+// Ways in which a server's response to an attempt may end.
+var (
+	breakOff = func(r *receivedRequest, c net.Conn) bool {
+		writePart(r, c, 200, streamBody, streamBody/2, "Proof: p")
+		return false
+	}
+	breakOffChunk = func(r *receivedRequest, c net.Conn) bool {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\nId: %s\r\nProof: p\r\n\r\n8\r\nhalf", r.Header.Get("Id"))
+		return false
+	}
+	breakOffLarge = func(r *receivedRequest, c net.Conn) bool {
+		writePart(r, c, 200, largeBody, largeBody/2, "Proof: p")
+		return false
+	}
+	fallSilent = func(r *receivedRequest, c net.Conn) bool {
+		writePart(r, c, 200, streamBody, streamBody/2, "Proof: p")
+		<-r.connectionClosed
+		return false
+	}
+	respondUnsigned = func(r *receivedRequest, c net.Conn) bool {
+		writePart(r, c, 200, largeBody, largeBody)
+		return true
+	}
+	failLarge = func(r *receivedRequest, c net.Conn) bool {
+		writePart(r, c, 500, largeBody, largeBody, "Proof: p")
+		return true
+	}
+	respondLarge = func(r *receivedRequest, c net.Conn) bool {
+		writePart(r, c, 200, largeBody, largeBody, "Proof: p")
+		return true
+	}
+	// respondLargeTogether answers both attempts of a hedged request at the same time. The second attempt starts after half of the
+	// route's timeout.
+	respondLargeTogether = func(r *receivedRequest, c net.Conn) bool {
+		at, _ := answerTimes.LoadOrStore(r.Header.Get("Id"), time.Now().Add(routeTimeout*3/4))
+		time.Sleep(time.Until(at.(time.Time)))
+		return respondLarge(r, c)
+	}
+	// answerTimes holds the time.Time at which a request is answered, by its id.
+	answerTimes sync.Map
+)
+
+var _ = Describe("connections to a server", func() {
+	// connectionsLeft closes the idle connections and returns the number of those that are still counted.
+	connectionsLeft := func(f *fixture, backends ...*backend) func() int {
+		return func() (left int) {
+			for _, b := range backends {
+				f.Servers.CloseIdle(b.address)
+				left += f.Servers.OpenConnections(b.address)
+			}
+			return left
+		}
+	}
+
+	// Guards against an attempt that ends without giving its connection back to the limit of its server: after as many such attempts
+	// as the limit allows connections, the VM could send nothing to a sound server any more.
+	DescribeTable("are given back", func(respond func(*receivedRequest, net.Conn) bool, path string, leaveAfter time.Duration) {
+		first, second := startBackend(respond), startBackend(respond)
+		f := startGateway(first, second)
+		var callers sync.WaitGroup
+		for i := range 8 {
+			callers.Go(func() {
+				defer GinkgoRecover()
+				c := f.dial()
+				c.send("GET", path, fmt.Sprint("request-", i), nil)
+				if leaveAfter > 0 {
+					time.Sleep(leaveAfter)
+				} else {
+					_, _ = io.Copy(io.Discard, c)
+				}
+				_ = c.Close()
+			})
+		}
+		callers.Wait()
+		Eventually(connectionsLeft(f, first, second), "3s", "50ms").Should(BeZero())
+	},
+		Entry("when a body breaks off", breakOff, "/safe/", callerWait/4),
+		Entry("when a chunked body breaks off", breakOffChunk, "/safe/", callerWait/4),
+		Entry("when a large body breaks off", breakOffLarge, "/safe/", callerWait/4),
+		Entry("when a server falls silent within a body", fallSilent, "/safe/", callerWait),
+		Entry("when a caller leaves while a body is buffered", fallSilent, "/safe/", 50*time.Millisecond),
+		Entry("when a caller leaves while a body is relayed", respondLarge, "/bulk/", 20*time.Millisecond),
+		Entry("when a large response has no signature", respondUnsigned, "/safe/", callerWait/4),
+		Entry("when a large response is a failure", failLarge, "/safe/", callerWait/4),
+		Entry("when both attempts of a hedged request return a large response", respondLargeTogether, "/safe/", callerWait/2),
+	)
+})
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -53,7 +53,9 @@
 	plan := g.planHedge(c, choice)
 	hedge := time.NewTimer(plan.untilNextCheck(g.Clock.Now()))
 	defer hedge.Stop()
-	for running := 1; ; {
+	running := 1
+	defer func() { releaseResults(results, running) }()
+	for {
 		select {
 		case <-hedge.C:
 			if g.startHedge(ctx, superseded, c, plan, results) {
@@ -86,6 +88,21 @@
 	}
 }
 
+// releaseResults gives back the connections of the attempts that are still running when the request has been answered.
+func releaseResults(results <-chan result, running int) {
+	if running == 0 {
+		return
+	}
+	go func() {
+		for range running {
+			if r := <-results; r.delivered {
+				// Closing the body of a response that nobody reads only closes its connection.
+				_ = r.resp.CloseBodyStream()
+			}
+		}
+	}()
+}
+
 // startAttempt starts an attempt and adds its server to c.sentTo. ctx ends when the caller disconnects, superseded when another
 // attempt has answered.
 func (g *Gateway) startAttempt(ctx, superseded context.Context, c *call, choice balance.Choice, results chan result) {
--- a/pkg/upstream/host.go
+++ b/pkg/upstream/host.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 	"golang.org/x/time/rate"
@@ -20,6 +21,9 @@
 	writeBufferSize = 4 << 10
 )
 
+// openConnections is the number of connections to all hosts, including those that are being opened.
+var openConnections = metrics.NewGauge(`hornbeamway_upstream_open_connections`, nil)
+
 // conn is one connection with its codec buffers.
 type conn struct {
 	net.Conn
@@ -237,6 +241,7 @@
 		return 0, ErrConnectionRateLimit
 	}
 	h.openCount++
+	openConnections.Inc()
 	return wait, nil
 }
 
@@ -244,6 +249,7 @@
 	h.mu.Lock()
 	h.openCount--
 	h.mu.Unlock()
+	openConnections.Dec()
 }
 
 func (h *host) dial(ctx context.Context, deadline time.Time) (*conn, error) {
@@ -290,6 +296,7 @@
 
 func (h *host) closeLocked(c *conn) {
 	h.openCount--
+	openConnections.Dec()
 	_ = c.Close()
 }
 
