gateway: a large response ends at the deadline of its request

Cause: the deadline was removed once a response exceeded what is read into memory; only a pause of 30 s ended it.

Change: the stream keeps the deadline. This also bounds the time for which a caller that reads slowly holds a server's connection.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -144,19 +144,18 @@
 	return sendCtx, func() { stop() }, func() { stop(); cancelSend() }
 }
 
-// bufferResponse reads a response of up to maxBufferedResponse bytes into memory by the deadline. A larger one remains a stream,
-// without a deadline.
+// bufferResponse reads a response of up to maxBufferedResponse bytes into memory by the deadline. A larger one remains a stream
+// that ends at the deadline, so that a server which falls silent, or a caller who reads slowly, does not hold it for longer.
 func bufferResponse(resp *fasthttp.Response, deadline time.Time) error {
 	stream, ok := resp.BodyStream().(*upstream.Body)
 	if !ok {
 		return nil
 	}
+	stream.SetDeadline(deadline)
 	if resp.Header.ContentLength() > maxBufferedResponse {
 		return nil
 	}
-	stream.SetDeadline(deadline)
 	body, err := io.ReadAll(io.LimitReader(stream, maxBufferedResponse+1))
-	stream.SetDeadline(time.Time{})
 	switch {
 	case err != nil:
 		return &upstream.Error{Stage: upstream.StageRead, Written: true, Timeout: ingress.IsTimeout(err), Cause: err}
--- a/pkg/gateway/connection_test.go
+++ b/pkg/gateway/connection_test.go
@@ -111,4 +111,43 @@
 		Entry("when a large response is a failure", failLarge, "/safe/", callerWait/4),
 		Entry("when both attempts of a hedged request return a large response", respondLargeTogether, "/safe/", callerWait/2),
 	)
+
+	// Guards against a large response without an end: a server that fell silent within it held the caller, and its own connection,
+	// until the idle timeout of the transport, long after the route's timeout.
+	DescribeTable("end a large response at the route's timeout if the server falls silent", func(head, part string) {
+		b := startBackend(func(r *receivedRequest, c net.Conn) bool {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 X\r\nId: %s\r\nProof: p\r\n%s\r\n\r\n%s", r.Header.Get("Id"), head, part)
+			<-r.connectionClosed
+			return false
+		})
+		f := startGateway(b)
+		c := f.dial()
+		started := time.Now()
+		c.send("GET", "/safe/", "view", nil)
+		Expect(c.receive().err).To(HaveOccurred())
+		Expect(time.Since(started)).To(BeNumerically("<", routeTimeout+500*time.Millisecond))
+		Eventually(connectionsLeft(f, b), "1s", "50ms").Should(BeZero())
+	},
+		Entry("of known length", fmt.Sprintf("Content-Length: %d", 2*largeBody), strings.Repeat("x", largeBody)),
+		Entry("in chunks", "Transfer-Encoding: chunked", fmt.Sprintf("%x\r\n", 2*largeBody)+strings.Repeat("x", largeBody)),
+	)
+
+	// Guards against a caller who reads a large response so slowly that it holds the server's connection for as long as it likes.
+	It("are given back when a caller reads a large response too slowly", func() {
+		b := startBackend(func(r *receivedRequest, c net.Conn) bool {
+			writePart(r, c, 200, 8*largeBody, 8*largeBody, "Proof: p")
+			return false
+		})
+		f := startGateway(b)
+		c := f.dial()
+		c.send("GET", "/safe/", "view", nil)
+		started, slow := time.Now(), make([]byte, sendBuffer)
+		for time.Since(started) < routeTimeout+500*time.Millisecond {
+			if _, err := c.Read(slow); err != nil {
+				break
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		Eventually(connectionsLeft(f, b), "1s", "50ms").Should(BeZero())
+	})
 })
