--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -84,8 +84,8 @@
 
 // The outcomes.
 const (
-	// Answered is a valid response without a server error.
-	Answered Outcome = iota
+	// Success is a valid response without a server error.
+	Success Outcome = iota
 	// Failed is a server error, an invalid or incomplete response, or no response in time.
 	Failed
 	// Unreachable is a failure to connect, or a connection that was reset at once.
--- a/pkg/balance/balance_test.go
+++ b/pkg/balance/balance_test.go
@@ -120,7 +120,7 @@
 			now = now.Add(5 * time.Millisecond)
 			c, _ := b.Pick(lookup, now)
 			b.Begin(c.Key)
-			outcome := balance.Answered
+			outcome := balance.Success
 			if c.Server.ID == "s0" {
 				sent++
 				outcome = balance.Failed
@@ -174,8 +174,8 @@
 		b.Begin(balance.ServerKeyOf(x))
 		b.SetServers(&directory.View{ByService: map[string][]*directory.Server{"s": {x}}})
 		Expect(b.OwnInFlight()).To(Equal(map[balance.ServerKey]int{balance.ServerKeyOf(x): 1}))
-		Expect(b.End(balance.ServerKeyOf(x), balance.Answered, start)).To(BeZero())
-		Expect(b.End(balance.ServerKeyOf(y), balance.Answered, start)).To(BeZero())
+		Expect(b.End(balance.ServerKeyOf(x), balance.Success, start)).To(BeZero())
+		Expect(b.End(balance.ServerKeyOf(y), balance.Success, start)).To(BeZero())
 		Expect(b.OwnInFlight()).To(BeEmpty())
 	})
 })
--- a/pkg/balance/cost.go
+++ b/pkg/balance/cost.go
@@ -186,11 +186,11 @@
 		}
 		s.unreachableCount++
 		s.unreachableUntil = now.Add(backoff)
-	case Answered:
+	case Success:
 		s.unreachableCount, s.unreachableUntil = 0, time.Time{}
 	}
 	failed := 1.0
-	if o == Answered {
+	if o == Success {
 		failed = 0
 	}
 	rate := s.failureRateNow(now)
--- a/pkg/gateway/admission_test.go
+++ b/pkg/gateway/admission_test.go
@@ -95,7 +95,7 @@
 		if request.remaining > 0 {
 			return false
 		}
-		r.balancer.End(key, balance.Answered, r.now)
+		r.balancer.End(key, balance.Success, r.now)
 		if r.now.Sub(request.arrivedAt) <= overloadObjective {
 			r.inTime++
 		} else {
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -69,9 +69,9 @@
 		BeforeWrite:    func() error { return ctx.Err() },
 		AcceptResponse: a.acceptResponse,
 	}, a.req, a.resp)
-	var answer Answer
+	var head ResponseHead
 	if err == nil {
-		answer = g.Dialect.Answer(&a.resp.Header)
+		head = g.Dialect.Response(&a.resp.Header)
 		err = bufferResponse(a.resp, a.deadline)
 	}
 	now := g.Clock.Now()
@@ -79,9 +79,9 @@
 	if err != nil {
 		r = a.classifyTransportError(err)
 	} else {
-		r = a.classifyResponse(answer)
+		r = a.classifyResponse(head)
 	}
-	r.choice, r.resp, r.report = a.choice, a.resp, answer.LoadReport
+	r.choice, r.resp, r.report = a.choice, a.resp, head.LoadReport
 	if stream, ok := a.resp.BodyStream().(*upstream.Body); ok && r.delivered {
 		detach()
 		stream.OnClose(cancel)
@@ -92,9 +92,9 @@
 	if r.delivered {
 		g.estimates.record(a.route, now.Sub(started), a.choice.Slowdown, a.responseBodySize())
 	}
-	event := loadshare.Event{Key: key, Outcome: &r.outcome, LoadReport: answer.LoadReport, ReportedAt: now}
-	if answer.LoadReport != nil {
-		g.Balancer.RecordLoadReport(key, *answer.LoadReport, now)
+	event := loadshare.Event{Key: key, Outcome: &r.outcome, LoadReport: head.LoadReport, ReportedAt: now}
+	if head.LoadReport != nil {
+		g.Balancer.RecordLoadReport(key, *head.LoadReport, now)
 	}
 	event.Count = g.Balancer.End(key, r.outcome, now)
 	g.Publish(event)
@@ -105,13 +105,13 @@
 // response that names none may be the second copy of an earlier one, for example of the refusal of a health check, whose "not run"
 // would otherwise be taken for that of a request which the server runs.
 func (a *attempt) acceptResponse(h *fasthttp.ResponseHeader) bool {
-	answer := a.gateway.Dialect.Answer(h)
-	if answer.RequestID == a.id {
+	head := a.gateway.Dialect.Response(h)
+	if head.RequestID == a.id {
 		return true
 	}
-	countForeignResponse(answer.RequestID)
-	klog.InfoS("a response does not name the request", "id", a.id, "server", a.choice.Server.ID, "named", answer.RequestID,
-		"status", h.StatusCode(), "notRun", answer.NotRun)
+	countForeignResponse(head.RequestID)
+	klog.InfoS("a response does not name the request", "id", a.id, "server", a.choice.Server.ID, "named", head.RequestID,
+		"status", h.StatusCode(), "notRun", head.NotRun)
 	return false
 }
 
@@ -173,16 +173,16 @@
 
 // classifyResponse returns the result for a response that acceptResponse has accepted. A success is relayed only if the server has
 // signed it.
-func (a *attempt) classifyResponse(answer Answer) result {
+func (a *attempt) classifyResponse(head ResponseHead) result {
 	status := a.resp.StatusCode()
 	switch {
-	case answer.Misdirected:
+	case head.Misdirected:
 		return result{outcome: balance.Misdirected, notRun: true, mayHaveArrived: true, detail: "answered by another server",
 			err: notRun(problem.ReasonUpstream, "the backend server was replaced", refusalRetryAfter(a.route))}
-	case answer.NotRun:
+	case head.NotRun:
 		return result{outcome: balance.Full, notRun: true, mayHaveArrived: true, detail: "refused by the server as not run",
 			err: notRun(problem.ReasonQueueFull, "the backend server did not run the request", refusalRetryAfter(a.route))}
-	case !answer.Signed && status < fasthttp.StatusMultipleChoices:
+	case !head.Signed && status < fasthttp.StatusMultipleChoices:
 		return invalidResponseResult("a success without the server's proof")
 	case status == fasthttp.StatusServiceUnavailable, status == fasthttp.StatusTooManyRequests,
 		status == fasthttp.StatusRequestTimeout, status == fasthttp.StatusMisdirectedRequest:
@@ -191,8 +191,8 @@
 	case status >= fasthttp.StatusInternalServerError:
 		return a.serverErrorResult(status)
 	}
-	a.gateway.Dialect.CleanAnswer(&a.resp.Header)
-	return result{outcome: balance.Answered, delivered: true, mayHaveArrived: true, detail: "answered"}
+	a.gateway.Dialect.CleanResponse(&a.resp.Header)
+	return result{outcome: balance.Success, delivered: true, mayHaveArrived: true, detail: "answered"}
 }
 
 // serverErrorResult returns the result for a server error. The error is relayed to the caller unless the request can be sent to
@@ -203,7 +203,7 @@
 		r.err = problem.New(status, problem.Unknown, problem.ReasonUpstream, "the backend server failed")
 		return r
 	}
-	a.gateway.Dialect.CleanAnswer(&a.resp.Header)
+	a.gateway.Dialect.CleanResponse(&a.resp.Header)
 	r.delivered = true
 	return r
 }
--- a/pkg/gateway/dialect.go
+++ b/pkg/gateway/dialect.go
@@ -18,10 +18,10 @@
 	// SetAttempt sets the headers of a request to a server: the time left until the deadline, and the id of the only server that
 	// may run the request.
 	SetAttempt(h *fasthttp.RequestHeader, left time.Duration, serverID string)
-	// Answer reads the head of a server's response.
-	Answer(h *fasthttp.ResponseHeader) Answer
-	// CleanAnswer removes the headers of a response that are meant for the gateway only.
-	CleanAnswer(h *fasthttp.ResponseHeader)
+	// Response reads the head of a server's response.
+	Response(h *fasthttp.ResponseHeader) ResponseHead
+	// CleanResponse removes the headers of a response that are meant for the gateway only.
+	CleanResponse(h *fasthttp.ResponseHeader)
 	// SetRequestID sets the request id in a response that the gateway generates.
 	SetRequestID(h *fasthttp.ResponseHeader, id string)
 }
@@ -36,8 +36,8 @@
 	Fault string
 }
 
-// Answer holds the values of a server's response head.
-type Answer struct {
+// ResponseHead holds the values of a server's response head.
+type ResponseHead struct {
 	// RequestID is the id of the request that is answered; empty if it is not stated.
 	RequestID string
 	// Signed is true if the response carries the server's signature.
--- a/pkg/gateway/fixture_test.go
+++ b/pkg/gateway/fixture_test.go
@@ -47,8 +47,8 @@
 	h.Set("Expect-Server", serverID)
 }
 
-func (plainDialect) Answer(h *fasthttp.ResponseHeader) gateway.Answer {
-	a := gateway.Answer{RequestID: string(h.Peek("Id")), Signed: len(h.Peek("Proof")) > 0, NotRun: len(h.Peek("Not-Run")) > 0,
+func (plainDialect) Response(h *fasthttp.ResponseHeader) gateway.ResponseHead {
+	a := gateway.ResponseHead{RequestID: string(h.Peek("Id")), Signed: len(h.Peek("Proof")) > 0, NotRun: len(h.Peek("Not-Run")) > 0,
 		Misdirected: h.StatusCode() == fasthttp.StatusMisdirectedRequest}
 	if slowdown, err := strconv.ParseFloat(string(h.Peek("Slowness")), 64); err == nil {
 		a.LoadReport = &balance.LoadReport{Slowdown: slowdown}
@@ -56,7 +56,7 @@
 	return a
 }
 
-func (plainDialect) CleanAnswer(*fasthttp.ResponseHeader) {}
+func (plainDialect) CleanResponse(*fasthttp.ResponseHeader) {}
 
 func (plainDialect) SetRequestID(h *fasthttp.ResponseHeader, id string) { h.Set("Id", id) }
 
--- a/pkg/gateway/wait_test.go
+++ b/pkg/gateway/wait_test.go
@@ -67,7 +67,7 @@
 	r.now = r.now.Add(time.Millisecond)
 	for end, key := range r.ends {
 		if !end.After(r.now) {
-			r.balancer.End(key, balance.Answered, r.now)
+			r.balancer.End(key, balance.Success, r.now)
 			delete(r.ends, end)
 		}
 	}
--- a/pkg/loadshare/sharer_test.go
+++ b/pkg/loadshare/sharer_test.go
@@ -68,7 +68,7 @@
 		key := balance.ServerKeyOf(testServer)
 		a.Publish(loadshare.Event{Key: key, Count: a.balancer.Begin(key)})
 		Eventually(func() int { return inFlight(b) }, "100ms", "1ms").Should(Equal(1))
-		a.Publish(loadshare.Event{Key: key, Count: a.balancer.End(key, balance.Answered, time.Now()),
+		a.Publish(loadshare.Event{Key: key, Count: a.balancer.End(key, balance.Success, time.Now()),
 			LoadReport: &balance.LoadReport{Slowdown: 5}, ReportedAt: time.Now()})
 		Eventually(func() int { return inFlight(b) }, "100ms", "1ms").Should(BeZero())
 		Expect(b.balancer.Slowdown(key, time.Now())).To(BeNumerically(">", 3))
@@ -202,7 +202,7 @@
 		expectCounted(vms, 15, 1)
 		expectCounted(vms, 0, 2)
 		key := balance.ServerKeyOf(testServer)
-		vms[15].Publish(loadshare.Event{Key: key, Count: vms[15].balancer.End(key, balance.Answered, time.Now()),
+		vms[15].Publish(loadshare.Event{Key: key, Count: vms[15].balancer.End(key, balance.Success, time.Now()),
 			LoadReport: &balance.LoadReport{Slowdown: 5}, ReportedAt: time.Now()})
 		for _, vm := range vms[:15] {
 			Eventually(func() int { return inFlight(vm) }, "500ms", "5ms").Should(Equal(1), vm.VM)
