--- a/pkg/gateway/fixture_test.go
+++ b/pkg/gateway/fixture_test.go
@@ -169,9 +169,11 @@
 
 const (
 	routeTimeout = 600 * time.Millisecond
-	objective    = 200 * time.Millisecond
-	headerLimit  = 4 << 10
-	sendBuffer   = 16 << 10
+	// transferTimeout leaves time for large bodies on a busy machine.
+	transferTimeout = 10 * time.Second
+	objective       = 200 * time.Millisecond
+	headerLimit     = 4 << 10
+	sendBuffer      = 16 << 10
 )
 
 func table(version int64) *routing.Table {
@@ -182,6 +184,7 @@
 		{Name: "bulk", Host: "h", Prefix: "/bulk/", Shares: share, Idempotent: true, Bulk: true, Timeout: 2 * time.Second,
 			Objective: 10 * objective, MaxAttempts: 1},
 		{Name: "once", Host: "h", Prefix: "/once/", Shares: share, Timeout: routeTimeout, Objective: objective, MaxAttempts: 2},
+		{Name: "upload", Host: "h", Prefix: "/upload/", Shares: share, Timeout: transferTimeout, Objective: objective, MaxAttempts: 2},
 	}, []routing.Service{{Name: "s"}}, routing.Limits{BodyBytes: 8 << 20, HeaderBytes: headerLimit})
 	Expect(err).NotTo(HaveOccurred())
 	return t
