entryvm: the specs wait until the server's record has been read

The server's record is now written first and the configuration one read interval later, for all specs.

--- a/pkg/entryvm/entryvm_test.go
+++ b/pkg/entryvm/entryvm_test.go
@@ -39,6 +39,8 @@
 		{"type":"services","metadata":{"name":"orders"},"spec":{"health_path":"/healthz","max_conns":100}},
 		{"type":"limits","spec":{"max_header_bytes":16384,"max_body_bytes":1000000,"header_timeout_ms":3000,"idle_timeout_ms":15000}}]}`
 	shutdownTimeout = 4 * time.Second
+	// readInterval is a little longer than the interval at which a VM reads the store.
+	readInterval = 1200 * time.Millisecond
 	// heavyOrder is the id of an order that takes heavyWork longer than others.
 	heavyOrder = "heavy"
 	heavyWork  = 4 * time.Second
@@ -120,12 +122,15 @@
 		Expect(err).NotTo(HaveOccurred())
 		return resp.StatusCode, string(body), resp.Close
 	}
+	// publishConfiguration writes the server's record and, once the VM has read it, the configuration. Otherwise the VM may read both
+	// topics between the two writes, and be ready a second before it knows the server.
 	publishConfiguration := func() {
-		store.Put("keyed.op", "config", []byte(configuration))
 		entry, err := json.Marshal(map[string]any{"service": "orders", "address": server.Address(), "zone": "d", "version": "v1",
 			"slots": 3, "state": "ready", "warmup_left_ms": 0, "seq": 1, "born": 1})
 		Expect(err).NotTo(HaveOccurred())
 		store.Put("keyed.servers", server.ID, entry)
+		time.Sleep(readInterval)
+		store.Put("keyed.op", "config", []byte(configuration))
 	}
 
 	BeforeEach(func() {
