gateway: the spec of responses that break off has time for a busy machine

The spec is about heads and bodies, not about time: it uses the route with 10 s now, and still asks for a 502 at each cut. Six copies at once passed.

--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -112,7 +112,10 @@
 		for _, whole = range []string{response, chunked} {
 			for n := range len(whole) {
 				cut.Store(int64(n))
-				a := f.roundTrip("POST", "/once/", "order")
+				c := f.dial()
+				c.sendWaiting(transferTimeout, "POST", "/upload/", "order", nil)
+				a := c.receive()
+				Expect(a.err).NotTo(HaveOccurred())
 				Expect(a.StatusCode).To(Equal(502), "%q", whole[:n])
 			}
 		}
