gateway: log what servers state about their availability

The adapter now decodes both headers, also of probes, and the gateway writes one line for each such response. Nothing decides by them yet.

--- a/pkg/entryvm/vm.go
+++ b/pkg/entryvm/vm.go
@@ -39,7 +39,7 @@
 	Codec   directory.Codec
 	Dialect interface {
 		gateway.Dialect
-		prober.LoadReportReader
+		prober.ResponseReader
 	}
 	// Reload reads the settings file again.
 	Reload func() (*Settings, error)
@@ -148,7 +148,7 @@
 	})
 	do.ProvideValue(i, upstream.NewTransport(v.serverTransportOptions()))
 	do.Provide(i, func(i do.Injector) (*prober.Prober, error) {
-		return prober.New(prober.Options{Clock: system, LoadReports: p.Dialect, State: do.MustInvoke[*directory.State](i),
+		return prober.New(prober.Options{Clock: system, Responses: p.Dialect, State: do.MustInvoke[*directory.State](i),
 			Balancer: do.MustInvoke[*balance.Balancer](i), Transport: do.MustInvoke[*upstream.Transport](i),
 			Assignment: v.probeAssignment, Publish: do.MustInvoke[*loadshare.Sharer](i).PublishLoadReport}), nil
 	})
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -106,6 +106,11 @@
 // would otherwise be taken for that of a request which the server runs.
 func (a *attempt) acceptResponse(h *fasthttp.ResponseHeader) bool {
 	head := a.gateway.Dialect.Response(h)
+	if head.Statement != (balance.Statement{}) {
+		klog.InfoS("a server states that it is not available", "id", a.id, "server", a.choice.Server.ID,
+			"service", a.choice.Server.Service, "leaving", head.Statement.Leaving, "retryAfter", head.Statement.RetryAfter,
+			"status", h.StatusCode(), "named", head.RequestID)
+	}
 	if head.RequestID == a.id {
 		return true
 	}
--- a/pkg/gateway/dialect.go
+++ b/pkg/gateway/dialect.go
@@ -48,4 +48,8 @@
 	Misdirected bool
 	// LoadReport is the server's load report; nil if there is none.
 	LoadReport *balance.LoadReport
+	// ServerID is the id of the server that sent the response; empty if it is not stated.
+	ServerID string
+	// Statement is what the server says about its availability.
+	Statement balance.Statement
 }
--- a/pkg/prober/prober.go
+++ b/pkg/prober/prober.go
@@ -38,19 +38,28 @@
 	probeFailures = metrics.NewCounter(`hornbeamway_probe_failures_total`)
 )
 
-// LoadReportReader extracts the load report from the response to a probe.
-type LoadReportReader interface {
-	// ReadProbe returns the ID of the server that sent the response and its load report; nil if the response carries none.
-	ReadProbe(h *fasthttp.ResponseHeader) (serverID string, report *balance.LoadReport)
+// ResponseReader reads the head of the response to a probe.
+type ResponseReader interface {
+	ReadProbe(h *fasthttp.ResponseHeader) ResponseHead
+}
+
+// ResponseHead holds the values of the head of the response to a probe.
+type ResponseHead struct {
+	// ServerID is the id of the server that sent the response; empty if it is not stated.
+	ServerID string
+	// LoadReport is the server's load report; nil if there is none.
+	LoadReport *balance.LoadReport
+	// Statement is what the server says about its availability.
+	Statement balance.Statement
 }
 
 // Options are the dependencies of a Prober.
 type Options struct {
-	Clock       clock.Clock
-	LoadReports LoadReportReader
-	State       *directory.State
-	Balancer    *balance.Balancer
-	Transport   *upstream.Transport
+	Clock     clock.Clock
+	Responses ResponseReader
+	State     *directory.State
+	Balancer  *balance.Balancer
+	Transport *upstream.Transport
 	// Assignment returns the rule by which this VM is the one that probes a server, as of now.
 	Assignment func() func(s *directory.Server) bool
 	// Publish shares a load report with the other entry VMs.
@@ -181,16 +190,16 @@
 		p.pauseUntil(key, now.Add(failurePause))
 		return
 	}
-	id, report := p.LoadReports.ReadProbe(&resp.Header)
-	if id != s.ID || report == nil {
+	head := p.Responses.ReadProbe(&resp.Header)
+	if head.ServerID != s.ID || head.LoadReport == nil {
 		probeFailures.Inc()
-		klog.InfoS("probe response has no load report of the probed server", "server", s.ID, "answeredBy", id,
+		klog.InfoS("probe response has no load report of the probed server", "server", s.ID, "answeredBy", head.ServerID,
 			"status", resp.StatusCode())
 		p.pauseUntil(key, now.Add(failurePause))
 		return
 	}
-	p.Balancer.RecordLoadReport(key, *report, now)
-	p.Publish(loadshare.Event{Key: key, Count: p.Balancer.OwnInFlightAt(key), LoadReport: report, ReportedAt: now})
+	p.Balancer.RecordLoadReport(key, *head.LoadReport, now)
+	p.Publish(loadshare.Event{Key: key, Count: p.Balancer.OwnInFlightAt(key), LoadReport: head.LoadReport, ReportedAt: now})
 	p.pauseUntil(key, now.Add(staleAfter/2))
 }
 
--- a/pkg/prober/prober_test.go
+++ b/pkg/prober/prober_test.go
@@ -27,14 +27,15 @@
 	RunSpecs(t, "prober")
 }
 
-type headerLoadReports struct{}
+// plainHeaders implements prober.ResponseReader with short header names.
+type plainHeaders struct{}
 
-func (headerLoadReports) ReadProbe(h *fasthttp.ResponseHeader) (string, *balance.LoadReport) {
-	slowdown, err := strconv.ParseFloat(string(h.Peek("Slowness")), 64)
-	if err != nil {
-		return string(h.Peek("Server-Id")), nil
+func (plainHeaders) ReadProbe(h *fasthttp.ResponseHeader) prober.ResponseHead {
+	head := prober.ResponseHead{ServerID: string(h.Peek("Server-Id"))}
+	if slowdown, err := strconv.ParseFloat(string(h.Peek("Slowness")), 64); err == nil {
+		head.LoadReport = &balance.LoadReport{Slowdown: slowdown}
 	}
-	return string(h.Peek("Server-Id")), &balance.LoadReport{Slowdown: slowdown}
+	return head
 }
 
 type fakeCodec struct{}
@@ -76,7 +77,7 @@
 		state.ApplySnapshot(directory.Snapshot{Digest: directory.Digest{ConfigVersion: 1, ServersRevision: 1}, ConfigKey: "config",
 			ConfigRecord: emptyGzip, Servers: []directory.Server{*server}}, "test")
 		shared = make(chan loadshare.Event, 64)
-		p := prober.New(prober.Options{Clock: clock.System{}, LoadReports: headerLoadReports{}, State: state, Balancer: balancer,
+		p := prober.New(prober.Options{Clock: clock.System{}, Responses: plainHeaders{}, State: state, Balancer: balancer,
 			Transport:  upstream.NewTransport(upstream.Options{}),
 			Assignment: func() func(*directory.Server) bool { return func(*directory.Server) bool { return assigned } },
 			Publish:    func(e loadshare.Event) { shared <- e }})
