--- a/pkg/gateway/fixture_test.go
+++ b/pkg/gateway/fixture_test.go
@@ -49,7 +49,8 @@
 
 func (plainDialect) Response(h *fasthttp.ResponseHeader) gateway.ResponseHead {
 	a := gateway.ResponseHead{RequestID: string(h.Peek("Id")), Signed: len(h.Peek("Proof")) > 0, NotRun: len(h.Peek("Not-Run")) > 0,
-		Misdirected: h.StatusCode() == fasthttp.StatusMisdirectedRequest}
+		Misdirected: h.StatusCode() == fasthttp.StatusMisdirectedRequest, ServerID: string(h.Peek("Server-Id")),
+		Statement: balance.Statement{Leaving: len(h.Peek("Leaving")) > 0, RetryAfter: string(h.Peek("Retry-After"))}}
 	if slowdown, err := strconv.ParseFloat(string(h.Peek("Slowness")), 64); err == nil {
 		a.LoadReport = &balance.LoadReport{Slowdown: slowdown}
 	}
