upstream: send no request on a connection that has refused it

Callers saw a request that may run once answered 503 "not run" although it had run. Cause: a server may write a refusal twice, and the second copy names the request that was refused. If the same request was under way again on the same connection, the copy was taken for its response. It can be: the server has started again, or another one has taken over the address after a 421, so that the balancer does not know the address as one already tried; or a caller sends the id again. Fix: the connection keeps the ids (hashes) of the requests that were refused on it and is not handed to one of them again; after 64 refusals it is closed. On any other connection no copy of that refusal can arrive, whatever made the request go to the address again. A response is now classified in one call: accepted, refused or foreign.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -66,8 +66,8 @@
 	sendCtx, detach, cancel := a.sendContext(ctx, superseded)
 	err := g.Servers.RoundTrip(sendCtx, upstream.Attempt{
 		Address: a.choice.Server.Address, Idempotent: a.route.Idempotent, Deadline: a.deadline,
-		BeforeWrite:    func() error { return ctx.Err() },
-		AcceptResponse: a.acceptResponse,
+		BeforeWrite: func() error { return ctx.Err() },
+		RequestID:   a.id, Classify: a.classify,
 	}, a.req, a.resp)
 	var head ResponseHead
 	if err == nil {
@@ -101,23 +101,26 @@
 	return r
 }
 
-// acceptResponse reports whether a response belongs to this request, that is, whether it names the request. Others are skipped. A
-// response that names none may be the second copy of an earlier one, for example of the refusal of a health check, whose "not run"
-// would otherwise be taken for that of a request which the server runs.
-func (a *attempt) acceptResponse(h *fasthttp.ResponseHeader) bool {
+// classify returns how a response relates to this request, which it has to name. A response that names none may be the second copy
+// of an earlier one, for example of the refusal of a health check, whose "not run" would otherwise be taken for that of a request
+// which the server runs.
+func (a *attempt) classify(h *fasthttp.ResponseHeader) upstream.Verdict {
 	head := a.gateway.Dialect.Response(h)
 	if head.Statement != (balance.Statement{}) {
 		klog.InfoS("a server states that it is not available", "id", a.id, "server", a.choice.Server.ID,
 			"service", a.choice.Server.Service, "leaving", head.Statement.Leaving, "retryAfter", head.Statement.RetryAfter,
 			"status", h.StatusCode(), "named", head.RequestID)
 	}
-	if head.RequestID == a.id {
-		return true
+	switch {
+	case head.RequestID == a.id && (head.NotRun || head.Misdirected):
+		return upstream.Refused
+	case head.RequestID == a.id:
+		return upstream.Accepted
 	}
 	countForeignResponse(head.RequestID)
 	klog.InfoS("a response does not name the request", "id", a.id, "server", a.choice.Server.ID, "named", head.RequestID,
 		"status", h.StatusCode(), "notRun", head.NotRun)
-	return false
+	return upstream.Foreign
 }
 
 // releaseResponse gives back the connection of a response that is not relayed, if its body is still a stream.
@@ -176,7 +179,7 @@
 	return nil
 }
 
-// classifyResponse returns the result for a response that acceptResponse has accepted. A success is relayed only if the server has
+// classifyResponse returns the result for a response to this request. A success is relayed only if the server has
 // signed it.
 func (a *attempt) classifyResponse(head ResponseHead) result {
 	status := a.resp.StatusCode()
--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -160,7 +160,7 @@
 		if err := x.readFinalHead(); err != nil {
 			return err
 		}
-		if x.attempt.AcceptResponse == nil || x.attempt.AcceptResponse(&x.resp.Header) {
+		if x.classify() != Foreign {
 			return nil
 		}
 		if discarded++; discarded > maxStaleResponses {
@@ -172,6 +172,18 @@
 	}
 }
 
+// classify returns how the response relates to the request. A refusal is recorded with the connection.
+func (x *exchange) classify() Verdict {
+	if x.attempt.Classify == nil {
+		return Accepted
+	}
+	verdict := x.attempt.Classify(&x.resp.Header)
+	if verdict == Refused {
+		x.conn.recordRefusal(x.attempt.RequestID)
+	}
+	return verdict
+}
+
 func (x *exchange) resetResponse() {
 	x.resp.Reset()
 	x.resp.SkipBody = x.req.Header.IsHead()
--- a/pkg/upstream/host.go
+++ b/pkg/upstream/host.go
@@ -5,11 +5,13 @@
 	"context"
 	"math"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 	"golang.org/x/time/rate"
@@ -42,6 +44,24 @@
 	// deadline costs two timers.
 	deadline      time.Time
 	deadlineValid bool
+	// refused holds the hashes of the ids of the requests that were refused on this connection.
+	refused []uint64
+}
+
+// maxRefusals is the number of refusals after which a connection is not reused, which bounds conn.refused.
+const maxRefusals = 64
+
+// recordRefusal records that a request was refused on this connection.
+func (c *conn) recordRefusal(requestID string) {
+	c.refused = append(c.refused, xxhash.Sum64String(requestID))
+	if len(c.refused) >= maxRefusals {
+		c.noReuse = true
+	}
+}
+
+// hasRefused reports whether a request was refused on this connection.
+func (c *conn) hasRefused(requestID string) bool {
+	return len(c.refused) > 0 && slices.Contains(c.refused, xxhash.Sum64String(requestID))
 }
 
 // SetDeadline implements net.Conn.
@@ -107,7 +127,7 @@
 
 // get returns an idle connection suitable for the attempt, or opens a new one.
 func (h *host) get(ctx context.Context, a Attempt) (*conn, error) {
-	if c := h.takeIdle(a.Idempotent); c != nil {
+	if c := h.takeIdle(a); c != nil {
 		c.bytesWritten = 0
 		return c, nil
 	}
@@ -135,21 +155,23 @@
 	return h.dial(ctx, deadline)
 }
 
-// takeIdle removes and returns the most recently used idle connection, or nil if none is suitable. A non-idempotent request
-// needs a connection with a recent response: if the remote side has stopped responding or is closing the connection, the
-// outcome of the request would be unknown.
-func (h *host) takeIdle(idempotent bool) *conn {
+// takeIdle removes and returns the most recently used idle connection that is suitable for the attempt, or nil if there is none.
+// A non-idempotent request needs a connection with a recent response: if the remote side has stopped responding or is closing
+// the connection, the outcome of the request would be unknown.
+func (h *host) takeIdle(a Attempt) *conn {
 	now := h.opts.Clock.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for len(h.idle) > 0 {
-		last := len(h.idle) - 1
-		c := h.idle[last]
-		if now.Sub(c.lastResponse) > h.maxIdle(c, idempotent) {
+	for i := len(h.idle) - 1; i >= 0; i-- {
+		c := h.idle[i]
+		if now.Sub(c.lastResponse) > h.maxIdle(c, a.Idempotent) {
 			// The other connections were used even less recently, so none of them is suitable either.
 			return nil
 		}
-		h.idle = h.idle[:last]
+		if c.hasRefused(a.RequestID) {
+			continue
+		}
+		h.idle = slices.Delete(h.idle, i, i+1)
 		if !c.unusable() {
 			return c
 		}
--- a/pkg/upstream/transport.go
+++ b/pkg/upstream/transport.go
@@ -92,11 +92,27 @@
 	FirstByteTimeout time.Duration
 	// BeforeWrite is called right before the first byte is written. If it fails, the attempt fails and nothing is written.
 	BeforeWrite func() error
-	// AcceptResponse reports whether a response belongs to this request. Responses that do not, such as a late second response
-	// to an earlier request, are read and dropped, and the connection is not reused. Nil: every response is accepted.
-	AcceptResponse func(h *fasthttp.ResponseHeader) bool
+	// RequestID is the id by which responses name the request. A request is not sent on a connection on which it was refused:
+	// a late copy of the refusal would name it, too. Classify recognizes a refusal.
+	RequestID string
+	// Classify returns how a response relates to the request. Nil: every response is accepted.
+	Classify func(h *fasthttp.ResponseHeader) Verdict
 }
 
+// Verdict is how a response relates to the request that waits for one on its connection.
+type Verdict uint8
+
+// The verdicts.
+const (
+	// Accepted is a response to the request.
+	Accepted Verdict = iota
+	// Refused is a response to the request which states that the request was not run, so that it may be sent again.
+	Refused
+	// Foreign is a response to another request, such as a late second response to an earlier one. It is read and dropped, and the
+	// connection is not reused.
+	Foreign
+)
+
 // Transport sends requests and pools idle connections per address. It is safe for concurrent use.
 type Transport struct {
 	opts  Options
