gateway: send nothing to a server that states it is leaving or wants no requests

While the store is away, cut off or late, the record says ready. A response to another request counts only if it names the server. Peer VMs get the statement as a hint for 30 s with the events that they exchange; VMs of earlier versions ignore it. After a hold requests come back over 1 s; if all servers of a service are held off, callers get 503 at once with the time until the first is back. Odd values are bounded and logged.

--- /dev/null
+++ b/pkg/balance/availability.go
@@ -0,0 +1,217 @@
+package balance
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hornbeamway/hornbeamway/pkg/directory"
+)
+
+const (
+	// maxHold bounds the time for which a server can keep requests away with one response, in case the value is corrupt.
+	maxHold = 5 * time.Minute
+	// unreadableHold is the time for which a server gets no requests if its Retry-After cannot be read.
+	unreadableHold = time.Second
+	// returnTime is the time after a hold in which requests come back to a server gradually. If all came back at once, it would
+	// have to turn them away again.
+	returnTime = time.Second
+	// peerLeavingTTL is how long a server is not used because a peer VM was told that it is leaving. It covers the time in which a
+	// leaving server usually exits.
+	peerLeavingTTL = 30 * time.Second
+	// maxAvailabilities bounds the servers whose statements are kept. The ones that changed least recently are dropped first.
+	maxAvailabilities = 4096
+)
+
+// ErrRetryAfter reports a Retry-After that is no number of seconds within bounds. The hold is bounded.
+var ErrRetryAfter = errors.New("odd Retry-After")
+
+// Statement is what a response says about the availability of the server that sent it.
+type Statement struct {
+	// Leaving is true if the server is about to exit.
+	Leaving bool
+	// RetryAfter is the Retry-After header of a response with status 503; empty if there is none.
+	RetryAfter string
+}
+
+// Availability is whether a server may get requests, apart from its load.
+type Availability uint8
+
+// The availabilities.
+const (
+	// Available servers may get requests.
+	Available Availability = iota
+	// Leaving servers are about to exit.
+	Leaving
+	// HeldOff servers have asked for no requests for some time.
+	HeldOff
+)
+
+var availabilityNames = [...]string{"available", "leaving", "held off"}
+
+// String returns the name for logs.
+func (a Availability) String() string { return availabilityNames[a] }
+
+// availability is what is known of one start of a server from its own responses. It is kept whether or not the server is
+// listed: a list that is older than the response may contain the server, or miss it for a while.
+type availability struct {
+	leaving bool
+	// peerLeavingUntil is the end of the time for which the statement of a peer VM applies.
+	peerLeavingUntil time.Time
+	heldUntil        time.Time
+	changedAt        time.Time
+}
+
+// at returns the availability at a time.
+func (a *availability) at(now time.Time) Availability {
+	switch {
+	case a == nil:
+		return Available
+	case a.leaving, now.Before(a.peerLeavingUntil):
+		return Leaving
+	case now.Before(a.heldUntil):
+		return HeldOff
+	}
+	return Available
+}
+
+// holdLeft returns the time until the end of the hold, 0 if there is none.
+func (a *availability) holdLeft(now time.Time) time.Duration {
+	if a == nil || a.heldUntil.IsZero() {
+		return 0
+	}
+	return max(0, a.heldUntil.Sub(now))
+}
+
+// returnShare returns the share of its usual requests that a server gets at a time: it grows from 0 to 1 in the time after a hold.
+func (a *availability) returnShare(now time.Time) float64 {
+	if a == nil || a.heldUntil.IsZero() {
+		return 1
+	}
+	return min(1, float64(now.Sub(a.heldUntil))/float64(returnTime))
+}
+
+// outdated reports whether the availability no longer differs from that of a server without statements.
+func (a *availability) outdated(now time.Time) bool {
+	return a.at(now) == Available && a.returnShare(now) >= 1
+}
+
+// StatementChange is what a statement has changed.
+type StatementChange struct {
+	// Leaving is true if the server had not stated to this VM that it is leaving. HeldOff is true if it was not held off.
+	Leaving, HeldOff bool
+	// Hold is the time for which the statement asks for no requests.
+	Hold time.Duration
+	// Err is ErrRetryAfter if the Retry-After is odd.
+	Err error
+}
+
+// RecordStatement applies what a response of a server says about its availability. It remains in force until the server starts
+// again, which gives it another key, whatever the store or peer VMs say.
+func (b *Balancer) RecordStatement(key ServerKey, s Statement, now time.Time) (change StatementChange) {
+	if s == (Statement{}) {
+		return change
+	}
+	change.Hold, change.Err = parseHold(s.RetryAfter, now)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	a := b.availabilityFor(key, now)
+	change.Leaving = s.Leaving && !a.leaving
+	a.leaving = a.leaving || s.Leaving
+	if until := now.Add(change.Hold); change.Hold > 0 && until.After(a.heldUntil) {
+		change.HeldOff = !now.Before(a.heldUntil)
+		a.heldUntil = until
+	}
+	return change
+}
+
+// RecordPeerLeaving applies that a server has told a peer VM that it is leaving. It returns the server if that was not known and
+// the server is listed, and nil otherwise.
+func (b *Balancer) RecordPeerLeaving(key ServerKey, now time.Time) *directory.Server {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	known := b.availabilities[key].at(now) == Leaving
+	b.availabilityFor(key, now).peerLeavingUntil = now.Add(peerLeavingTTL)
+	if s, listed := b.servers[key]; listed && !known {
+		return s.info
+	}
+	return nil
+}
+
+// Availability returns whether a server may get requests.
+func (b *Balancer) Availability(key ServerKey, now time.Time) Availability {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.availabilities[key].at(now)
+}
+
+// CountUnavailable returns the number of listed servers that are leaving by a statement of theirs, and of those that are held off.
+func (b *Balancer) CountUnavailable(now time.Time) (leaving, heldOff int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for key := range b.servers {
+		switch b.availabilities[key].at(now) {
+		case Leaving:
+			leaving++
+		case HeldOff:
+			heldOff++
+		}
+	}
+	return leaving, heldOff
+}
+
+// availabilityFor returns the record of a server for a change. The caller holds the lock.
+func (b *Balancer) availabilityFor(key ServerKey, now time.Time) *availability {
+	a, ok := b.availabilities[key]
+	if !ok {
+		if len(b.availabilities) >= maxAvailabilities {
+			b.dropAvailabilities(now)
+		}
+		a = &availability{}
+		b.availabilities[key] = a
+	}
+	a.changedAt = now
+	return a
+}
+
+// dropAvailabilities makes room for further records: it drops the outdated ones, or the one that changed least recently if there
+// are none.
+func (b *Balancer) dropAvailabilities(now time.Time) {
+	maps.DeleteFunc(b.availabilities, func(_ ServerKey, a *availability) bool { return a.outdated(now) })
+	if len(b.availabilities) < maxAvailabilities {
+		return
+	}
+	oldest := slices.MinFunc(slices.Collect(maps.Keys(b.availabilities)), func(x, y ServerKey) int {
+		return cmp.Compare(b.availabilities[x].changedAt.UnixNano(), b.availabilities[y].changedAt.UnixNano())
+	})
+	delete(b.availabilities, oldest)
+}
+
+// parseHold returns the time for which a server with a Retry-After gets no requests: a number of seconds, which may have a
+// fraction, or a date. Error: ErrRetryAfter.
+func parseHold(retryAfter string, now time.Time) (time.Duration, error) {
+	retryAfter = strings.TrimSpace(retryAfter)
+	if retryAfter == "" {
+		return 0, nil
+	}
+	if at, err := http.ParseTime(retryAfter); err == nil {
+		return min(max(0, at.Sub(now)), maxHold), errors.Wrapf(ErrRetryAfter, "%q is a date", retryAfter)
+	}
+	seconds, err := strconv.ParseFloat(retryAfter, 64)
+	switch {
+	case math.IsNaN(seconds), err != nil && !errors.Is(err, strconv.ErrRange):
+		return unreadableHold, errors.Wrapf(ErrRetryAfter, "%q is not a number", retryAfter)
+	case seconds < 0:
+		return 0, errors.Wrapf(ErrRetryAfter, "%q is negative", retryAfter)
+	case seconds > maxHold.Seconds():
+		return maxHold, errors.Wrapf(ErrRetryAfter, "%q is more than %v", retryAfter, maxHold)
+	}
+	return time.Duration(seconds * float64(time.Second)), nil
+}
--- /dev/null
+++ b/pkg/balance/availability_test.go
@@ -0,0 +1,113 @@
+package balance_test
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hornbeamway/hornbeamway/pkg/balance"
+	"github.com/hornbeamway/hornbeamway/pkg/directory"
+)
+
+var _ = Describe("Availability", func() {
+	x, y := server("x", "a1", "a"), server("y", "a1", "a")
+	keyX, keyY := balance.ServerKeyOf(x), balance.ServerKeyOf(y)
+	leaving := balance.Statement{Leaving: true}
+
+	// share returns how often the first of two servers is picked.
+	share := func(b *balance.Balancer, now time.Time) float64 {
+		const picks = 400
+		picked := 0
+		for range picks {
+			if pick(b, lookup, now) == "x" {
+				picked++
+			}
+		}
+		return float64(picked) / picks
+	}
+
+	// Guards against a server that gets requests again because it was missing in a list for a while, or a list is older than its
+	// statement.
+	It("keeps a leaving server out when it is listed again, and lets its next start in", func() {
+		b := newBalancer(x, y)
+		Expect(b.RecordStatement(keyX, leaving, start).Leaving).To(BeTrue())
+		Expect(b.RecordStatement(keyX, leaving, start).Leaving).To(BeFalse())
+		b.SetServers(&directory.View{ByService: map[string][]*directory.Server{"s": {y}}})
+		b.SetServers(&directory.View{ByService: map[string][]*directory.Server{"s": {x, y}}})
+		Expect(share(b, start.Add(time.Hour))).To(BeZero())
+		next := *x
+		next.Incarnation = 1
+		b.SetServers(&directory.View{ByService: map[string][]*directory.Server{"s": {&next, y}}})
+		Expect(share(b, start.Add(time.Hour))).To(BeNumerically(">", 0))
+	})
+
+	// Guards against a server that is lost for good because a peer VM was wrong about it.
+	It("keeps a server out for a while by what a peer VM reports, and for good by what the server states", func() {
+		b := newBalancer(x, y)
+		Expect(b.RecordPeerLeaving(keyX, start)).To(Equal(x))
+		Expect(b.RecordPeerLeaving(keyX, start)).To(BeNil())
+		Expect(b.Availability(keyX, start.Add(20*time.Second))).To(Equal(balance.Leaving))
+		Expect(b.Availability(keyX, start.Add(time.Minute))).To(Equal(balance.Available))
+		b.RecordStatement(keyX, leaving, start)
+		Expect(b.Availability(keyX, start.Add(time.Minute))).To(Equal(balance.Leaving))
+	})
+
+	// Guards against a server that has asked for a pause and gets all requests at once at its end, which it turns away again.
+	It("lets requests come back gradually after a hold", func() {
+		b := newBalancer(x, y)
+		b.RecordStatement(keyX, balance.Statement{RetryAfter: "2.5"}, start)
+		Expect(share(b, start.Add(2499*time.Millisecond))).To(BeZero())
+		Expect(share(b, start.Add(2600*time.Millisecond))).To(BeNumerically("~", 0.05, 0.04))
+		Expect(share(b, start.Add(3000*time.Millisecond))).To(BeNumerically("~", 0.25, 0.08))
+		Expect(share(b, start.Add(3500*time.Millisecond))).To(BeNumerically("~", 0.5, 0.1))
+	})
+
+	// Guards against a shorter hold that ends a longer one.
+	It("holds until the latest end that a server has named", func() {
+		b := newBalancer(x)
+		b.RecordStatement(keyX, balance.Statement{RetryAfter: "3"}, start)
+		b.RecordStatement(keyX, balance.Statement{RetryAfter: "1"}, start.Add(time.Second))
+		Expect(b.Availability(keyX, start.Add(2900*time.Millisecond))).To(Equal(balance.HeldOff))
+	})
+
+	// Guards against callers who are told nothing of when a server is available again.
+	It("tells when the first hold ends if all servers are held off", func() {
+		b := newBalancer(x, y)
+		b.RecordStatement(keyX, balance.Statement{RetryAfter: "3"}, start)
+		b.RecordStatement(keyY, balance.Statement{RetryAfter: "2"}, start)
+		c, ok := b.Pick(lookup, start.Add(time.Second))
+		Expect(ok).To(BeFalse())
+		Expect(c.HeldOff).To(Equal(time.Second))
+		leavingCount, heldOff := b.CountUnavailable(start)
+		Expect([]int{leavingCount, heldOff}).To(Equal([]int{0, 2}))
+	})
+
+	// Guards against a corrupt value that keeps a server out for ever, and against one that is taken for no hold without a trace.
+	DescribeTable("bounds an odd Retry-After", func(value string, want time.Duration) {
+		change := newBalancer(x).RecordStatement(keyX, balance.Statement{RetryAfter: value}, start)
+		Expect(change.Hold).To(Equal(want))
+		Expect(change.Err).To(MatchError(balance.ErrRetryAfter))
+	},
+		Entry("negative", "-1", time.Duration(0)), Entry("huge", "1e12", 5*time.Minute), Entry("out of range", "1e999", 5*time.Minute),
+		Entry("not a number", "soon", time.Second), Entry("NaN", "NaN", time.Second),
+		Entry("date", start.Add(7*time.Second).UTC().Format(http.TimeFormat), 7*time.Second),
+		Entry("date in the past", start.Add(-time.Hour).UTC().Format(http.TimeFormat), time.Duration(0)),
+		Entry("date far away", start.Add(time.Hour).UTC().Format(http.TimeFormat), 5*time.Minute),
+	)
+
+	// Guards against memory that grows with each server that has ever left.
+	It("bounds the servers whose statements it keeps, and drops the oldest statements first", func() {
+		b := newBalancer(x)
+		const servers = 5000
+		for i := range servers {
+			s := server(fmt.Sprint("server-", i), "a1", "a")
+			b.RecordStatement(balance.ServerKeyOf(s), leaving, start.Add(time.Duration(i)*time.Second))
+		}
+		first, last := server("server-0", "a1", "a"), server(fmt.Sprint("server-", servers-1), "a1", "a")
+		Expect(b.Availability(balance.ServerKeyOf(first), start)).To(Equal(balance.Available))
+		Expect(b.Availability(balance.ServerKeyOf(last), start)).To(Equal(balance.Leaving))
+	})
+})
--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -77,6 +77,8 @@
 	// none.
 	Slowdown  float64
 	ReportAge time.Duration
+	// HeldOff is set if there is no server because of holds: the time until the first of them ends.
+	HeldOff time.Duration
 }
 
 // Outcome is the way in which a request on a server ended.
@@ -109,6 +111,7 @@
 	dataCentreOnly bool
 	services       map[string]*serviceState
 	servers        map[ServerKey]*serverState
+	availabilities map[ServerKey]*availability
 	random         *rand.Rand
 }
 
@@ -143,7 +146,8 @@
 // New returns the balancer of a VM at the location self. The seed determines how ties between servers are broken.
 func New(self Location, seed uint64) *Balancer {
 	return &Balancer{self: self, services: map[string]*serviceState{}, servers: map[ServerKey]*serverState{},
-		peerCounts: map[string]map[ServerKey]int{}, random: rand.New(rand.NewPCG(seed, seed))}
+		availabilities: map[ServerKey]*availability{},
+		peerCounts:     map[string]map[ServerKey]int{}, random: rand.New(rand.NewPCG(seed, seed))}
 }
 
 // SetServers replaces the servers that may receive requests. The state of a server is retained while it is listed.
@@ -174,7 +178,8 @@
 // Urgent reports whether an objective is so short, compared with the usual work of a request, that a slow server would miss it.
 func Urgent(objective, work time.Duration) bool { return objective <= urgentWorkFactor*work }
 
-// Pick returns the server with the lowest cost; ok is false if the service has no server that can be chosen.
+// Pick returns the server with the lowest cost; ok is false if the service has no server that can be chosen. A server that has said
+// that it is leaving, or has asked for no requests, cannot.
 func (b *Balancer) Pick(r Request, now time.Time) (c Choice, ok bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -187,16 +192,24 @@
 	}
 	best, bestCost := (*serverState)(nil), 0.0
 	for _, s := range svc.servers {
-		if s.misdirected || excluded(r.Exclude, s.key) {
+		a := b.availabilities[s.key]
+		status := a.at(now)
+		if left := a.holdLeft(now); status == HeldOff && (c.HeldOff == 0 || left < c.HeldOff) {
+			c.HeldOff = left
+		}
+		if status != Available || s.misdirected || excluded(r.Exclude, s.key) {
 			continue
 		}
 		cost := b.cost(svc, s, r, now) + b.random.Float64()*tieBreakRange
+		if b.random.Float64() >= a.returnShare(now) {
+			cost += returningCost
+		}
 		if best == nil || cost < bestCost {
 			best, bestCost = s, cost
 		}
 	}
 	if best == nil {
-		return Choice{}, false
+		return c, false
 	}
 	slowdown := best.slowdown(svc, now)
 	expected := b.expect(svc, best, r, now)
--- a/pkg/entryvm/lifecycle.go
+++ b/pkg/entryvm/lifecycle.go
@@ -58,6 +58,11 @@
 	defaultMaxConnections = 100
 )
 
+var (
+	leavingServers = metrics.NewGauge(`hornbeamway_servers_unavailable{reason="leaving"}`, nil)
+	heldOffServers = metrics.NewGauge(`hornbeamway_servers_unavailable{reason="held_off"}`, nil)
+)
+
 func storeTransportOptions() upstream.Options {
 	return upstream.Options{DialTimeout: storeDialTimeout, UserTimeout: serverUserTimeout, IdleTimeout: serverIdleTimeout}
 }
@@ -90,6 +95,7 @@
 	defer ticker.Stop()
 	for {
 		v.updateObjectives()
+		v.countUnavailableServers()
 		v.retryBudgets.SetBurst(max(1, retryBudgetFraction*v.settings.RetryBudgetSlack/float64(v.sharer.VMCount())))
 		select {
 		case <-ctx.Done():
@@ -101,6 +107,13 @@
 	}
 }
 
+// countUnavailableServers updates the gauges of the servers that get no requests by a statement of theirs.
+func (v *vm) countUnavailableServers() {
+	leaving, heldOff := v.balancer.CountUnavailable(time.Now())
+	leavingServers.Set(float64(leaving))
+	heldOffServers.Set(float64(heldOff))
+}
+
 // reload reads the settings and applies the seeds, the only setting that can change while the VM runs.
 func (v *vm) reload() {
 	next, err := v.platform.Reload()
--- a/pkg/entryvm/vm.go
+++ b/pkg/entryvm/vm.go
@@ -90,6 +90,7 @@
 	platform     Platform
 	sockets      *sockets
 	state        *directory.State
+	balancer     *balance.Balancer
 	follower     *directory.Follower
 	sharer       *loadshare.Sharer
 	gateway      *gateway.Gateway
@@ -165,6 +166,7 @@
 		return nil, err
 	}
 	v.state, v.sharer = do.MustInvoke[*directory.State](i), do.MustInvoke[*loadshare.Sharer](i)
+	v.balancer = do.MustInvoke[*balance.Balancer](i)
 	v.prober = do.MustInvoke[*prober.Prober](i)
 	v.retryBudgets, v.follower = do.MustInvoke[*retrybudget.Budgets](i), do.MustInvoke[*directory.Follower](i)
 	peer.Handle(v.peerServer, methodSnapshot, func(_ context.Context, versions directory.Versions) (directory.Snapshot, error) {
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -66,7 +66,7 @@
 	sendCtx, detach, cancel := a.sendContext(ctx, superseded)
 	err := g.Servers.RoundTrip(sendCtx, upstream.Attempt{
 		Address: a.choice.Server.Address, Idempotent: a.route.Idempotent, Deadline: a.deadline,
-		BeforeWrite: func() error { return ctx.Err() },
+		BeforeWrite: func() error { return a.checkBeforeWrite(ctx) },
 		RequestID:   a.id, Classify: a.classify,
 	}, a.req, a.resp)
 	var head ResponseHead
@@ -106,11 +106,7 @@
 // which the server runs.
 func (a *attempt) classify(h *fasthttp.ResponseHeader) upstream.Verdict {
 	head := a.gateway.Dialect.Response(h)
-	if head.Statement != (balance.Statement{}) {
-		klog.InfoS("a server states that it is not available", "id", a.id, "server", a.choice.Server.ID,
-			"service", a.choice.Server.Service, "leaving", head.Statement.Leaving, "retryAfter", head.Statement.RetryAfter,
-			"status", h.StatusCode(), "named", head.RequestID)
-	}
+	a.recordStatement(head)
 	switch {
 	case head.RequestID == a.id && (head.NotRun || head.Misdirected):
 		return upstream.Refused
@@ -123,6 +119,33 @@
 	return upstream.Foreign
 }
 
+// errUnavailable reports that a server has stated meanwhile that it wants no requests.
+var errUnavailable = errors.New("the server states that it is not available")
+
+// checkBeforeWrite reports whether the request may still be sent. Opening a connection can take so long that the server has become
+// unavailable by a response to another request.
+func (a *attempt) checkBeforeWrite(ctx context.Context) error {
+	if a.gateway.Balancer.Availability(a.choice.Key, a.gateway.Clock.Now()) != balance.Available {
+		return errUnavailable
+	}
+	return ctx.Err()
+}
+
+// recordStatement applies what a response says about the availability of the server. A response to another request, or from another
+// server at the address, counts only if it names the server.
+func (a *attempt) recordStatement(head ResponseHead) {
+	s := head.Statement
+	named := head.ServerID == a.choice.Server.ID
+	switch {
+	case head.RequestID == a.id && (!head.Misdirected || named):
+	case named:
+		s.RetryAfter = "" // The time from which on it counts is not known.
+	default:
+		return
+	}
+	a.gateway.availability.Record(a.choice.Server, s, "request "+a.id)
+}
+
 // releaseResponse gives back the connection of a response that is not relayed, if its body is still a stream.
 func (a *attempt) releaseResponse() {
 	if err := a.resp.CloseBodyStream(); err != nil {
@@ -238,6 +261,9 @@
 	case failure.Cancelled:
 		r.outcome = balance.Cancelled
 		r.err = problem.New(fasthttp.StatusBadGateway, problem.Unknown, problem.ReasonCancelled, "the caller closed the connection")
+	case errors.Is(failure.Cause, errUnavailable):
+		r.outcome = balance.Cancelled
+		r.err = notRun(problem.ReasonUpstream, errUnavailable.Error(), refusalRetryAfter(a.route))
 	case r.notRun:
 		r.outcome = balance.Unreachable
 		if errors.Is(failure.Cause, upstream.ErrConnectionLimit) || errors.Is(failure.Cause, upstream.ErrConnectionRateLimit) {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/hornbeamway/hornbeamway/pkg/availability"
 	"github.com/hornbeamway/hornbeamway/pkg/balance"
 	"github.com/hornbeamway/hornbeamway/pkg/clock"
 	"github.com/hornbeamway/hornbeamway/pkg/directory"
@@ -61,6 +62,9 @@
 // Gateway is the data path of an entry VM on the platform. It is safe for concurrent use.
 type Gateway struct {
 	Options
+	// availability records what servers state about their availability.
+	availability availability.Recorder
+
 	watcher   *ingress.DisconnectWatcher
 	server    *fasthttp.Server
 	listener  atomic.Pointer[ingress.Listener]
@@ -77,7 +81,9 @@
 
 // New returns a gateway that does not serve until Serve is called.
 func New(o Options) *Gateway {
-	g := &Gateway{Options: o, watcher: ingress.NewDisconnectWatcher(), estimates: newRouteEstimates(), startedAt: o.Clock.Now()}
+	g := &Gateway{Options: o,
+		availability: availability.Recorder{Clock: o.Clock, Balancer: o.Balancer, Servers: o.Servers, Publish: o.Publish},
+		watcher:      ingress.NewDisconnectWatcher(), estimates: newRouteEstimates(), startedAt: o.Clock.Now()}
 	g.server = &fasthttp.Server{
 		Handler:                      g.handle,
 		NoDefaultServerHeader:        true,
--- a/pkg/gateway/leaving_test.go
+++ b/pkg/gateway/leaving_test.go
@@ -2,10 +2,17 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
+	"strconv"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/valyala/fasthttp"
+
+	"github.com/hornbeamway/hornbeamway/pkg/balance"
+	"github.com/hornbeamway/hornbeamway/pkg/directory"
 )
 
 // respondLeaving writes a valid response in which the server states that it is leaving.
@@ -13,6 +20,18 @@
 	return writeResponse(c, r, 200, "answer to "+r.Header.Get("Id"), "Proof: p", "Leaving: 1")
 }
 
+// holdBeforeWrite is a dialect with which a server asks for no requests when the head of a request is being built.
+type holdBeforeWrite struct {
+	plainDialect
+	f   *fixture
+	key balance.ServerKey
+}
+
+func (d holdBeforeWrite) SetAttempt(h *fasthttp.RequestHeader, left time.Duration, serverID string) {
+	d.f.balancer.RecordStatement(d.key, balance.Statement{RetryAfter: "5"}, time.Now())
+	d.plainDialect.SetAttempt(h, left, serverID)
+}
+
 var _ = Describe("Gateway with a server that states that it is leaving", func() {
 	const requests = 10
 
@@ -31,4 +50,93 @@
 		Entry("idempotent requests", "/safe/"),
 		Entry("requests that may run once", "/once/"),
 	)
+
+	// Guards against a statement of a server that is believed of another one: a response to another request, or of the server that
+	// has taken over the address.
+	DescribeTable("goes on sending to a server that has not stated it", func(respond func(*receivedRequest, net.Conn) bool) {
+		first, second := startBackend(respond), startBackend(respondCorrectly)
+		f := startGateway(first, second)
+		for i := range requests {
+			Expect(f.roundTrip("GET", "/safe/", fmt.Sprint("view-", i)).StatusCode).To(Equal(200))
+		}
+		Expect(first.count()).To(Equal(requests))
+	},
+		Entry("but sends a copy of a response of another one", func(r *receivedRequest, c net.Conn) bool {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nId: other\r\nServer-Id: other\r\nLeaving: 1\r\n\r\n")
+			return respondCorrectly(r, c)
+		}),
+	)
+
+	// Guards against a statement that is missed because it stands in a late response, of which it is known that it is the server's.
+	It("believes a response to another request that names the server", func() {
+		first := startBackend(func(r *receivedRequest, c net.Conn) bool {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nId: other\r\nServer-Id: s0\r\nLeaving: 1\r\n\r\n")
+			return respondCorrectly(r, c)
+		})
+		second := startBackend(respondCorrectly)
+		f := startGateway(first, second)
+		for i := range requests {
+			Expect(f.roundTrip("GET", "/safe/", fmt.Sprint("view-", i)).StatusCode).To(Equal(200))
+		}
+		Expect(first.count()).To(Equal(1))
+	})
+
+	// Guards against a server that is avoided for good because an earlier start of it has left, and against one that comes back
+	// because an older record of the same start is read.
+	It("sends to a new start of the server only", func() {
+		first, second := startBackend(respondLeaving), startBackend(respondCorrectly)
+		f := startGateway(first, second)
+		Expect(f.roundTrip("GET", "/safe/", "first").StatusCode).To(Equal(200))
+		f.applyServer(2, directory.Server{ID: "other", Address: second.address})
+		f.applyServer(3, directory.Server{ID: "s0", Address: first.address})
+		Expect(f.roundTrip("GET", "/safe/", "second").StatusCode).To(Equal(503))
+		Expect(first.count()).To(Equal(1))
+		f.applyServer(4, directory.Server{ID: "s0", Address: first.address, Incarnation: 1})
+		Expect(f.roundTrip("GET", "/safe/", "third").StatusCode).To(Equal(200))
+	})
+})
+
+var _ = Describe("Gateway with a server that wants no requests for some time", func() {
+	const hold = 400 * time.Millisecond
+	respondHoldingOff := func(r *receivedRequest, c net.Conn) bool {
+		return writeResponse(c, r, 503, "", "Not-Run: 1", fmt.Sprint("Retry-After: ", hold.Seconds()))
+	}
+
+	// Guards against a server that is kept busy by requests which it has asked not to get.
+	It("sends it nothing until that time has passed", func() {
+		first, second := startBackend(respondHoldingOff), startBackend(respondCorrectly)
+		f := startGateway(first, second)
+		startedAt := time.Now()
+		for i := 0; time.Since(startedAt) < hold; i++ {
+			Expect(f.roundTrip("POST", "/once/", fmt.Sprint("order-", i)).StatusCode).To(Equal(200))
+		}
+		Expect(first.count()).To(Equal(1))
+		Eventually(func() int {
+			f.roundTrip("POST", "/once/", "later")
+			return first.count()
+		}, "2s").Should(Equal(2))
+	})
+
+	// Guards against a request that is sent although its server, while the connection was opened, has asked for no requests.
+	It("sends no request that was chosen before and has not been written", func() {
+		first, second := startBackend(respondCorrectly), startBackend(respondCorrectly)
+		f := startGateway(first, second)
+		f.Dialect = holdBeforeWrite{f: f, key: balance.ServerKeyOf(f.state.View().Servers["s0"])}
+		Expect(f.roundTrip("POST", "/once/", "order").StatusCode).To(Equal(200))
+		Expect(first.count()).To(BeZero())
+	})
+
+	// Guards against callers that come back before there is a server for them: the refusal used to name a tenth of the objective.
+	It("refuses at once, with a Retry-After that is true, when all servers are so", func() {
+		f := startGateway(startBackend(respondHoldingOff))
+		for _, id := range []string{"first", "second"} {
+			startedAt := time.Now()
+			a := f.roundTrip("POST", "/once/", id)
+			Expect(time.Since(startedAt)).To(BeNumerically("<", hold/2))
+			Expect(a.StatusCode).To(Equal(503))
+			seconds, err := strconv.ParseFloat(a.Header.Get("Retry-After"), 64)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(seconds).To(And(BeNumerically(">", hold.Seconds()/2), BeNumerically("<=", hold.Seconds())))
+		}
+	})
 })
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -80,7 +80,7 @@
 			}
 			choice, refusal := g.chooseServer(c)
 			if refusal != nil {
-				return r.err
+				return withLaterRetry(r.err, refusal)
 			}
 			g.startAttempt(ctx, superseded, c, choice, results)
 			running++
@@ -88,6 +88,15 @@
 	}
 }
 
+// withLaterRetry returns the problem of a failed attempt after which no server could be chosen. Its Retry-After is that of the refusal
+// if this is later, for example because all servers have asked for no requests until then.
+func withLaterRetry(failed, refusal *problem.Problem) *problem.Problem {
+	if failed.Outcome == problem.NotRun && refusal.Reason == problem.ReasonNoServer {
+		return failed.WithRetryAfter(max(failed.RetryAfter, refusal.RetryAfter))
+	}
+	return failed
+}
+
 // releaseResults gives back the connections of the attempts that are still running when the request has been answered.
 func releaseResults(results <-chan result, running int) {
 	if running == 0 {
@@ -140,6 +149,9 @@
 		Exclude:   c.sentTo, Connected: func(address string) bool { return g.Servers.HasIdle(address, c.route.Idempotent) },
 	}, now)
 	switch {
+	case !ok && choice.HeldOff > 0:
+		return choice, notRun(problem.ReasonNoServer, "all backend servers of "+c.service+" have asked for no requests",
+			choice.HeldOff)
 	case !ok:
 		return choice, notRun(problem.ReasonNoServer, "no backend server of "+c.service, min(noServerRetryAfter, left/4))
 	case choice.WithinLimits || len(c.sentTo) > 0:
--- a/pkg/loadshare/message.go
+++ b/pkg/loadshare/message.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/samber/lo"
 	"github.com/tinylib/msgp/msgp"
 
 	"github.com/hornbeamway/hornbeamway/pkg/balance"
@@ -35,6 +36,8 @@
 	// LoadReport is the load report that was received from the server at ReportedAt; nil if there is none.
 	LoadReport *balance.LoadReport
 	ReportedAt time.Time
+	// Leaving is true if the server has stated that it is leaving.
+	Leaving bool
 	// reportAge is the age of the load report. It is transmitted in place of ReportedAt.
 	reportAge time.Duration
 }
@@ -116,9 +119,14 @@
 	for i := range m.events {
 		b = m.events[i].encode(b)
 	}
-	if m.kind == kindEvents {
-		return b
+	if m.kind != kindEvents {
+		b = m.encodeCounts(b)
 	}
+	return m.encodeLeaving(b)
+}
+
+// encodeCounts encodes what only heartbeats and summaries have.
+func (m *message) encodeCounts(b []byte) []byte {
 	b = msgp.AppendBool(b, m.complete)
 	b = msgp.AppendBool(b, m.subscribe)
 	b = msgp.AppendMapHeader(b, uint32(len(m.counts)))
@@ -143,6 +151,20 @@
 	return b
 }
 
+// encodeLeaving encodes the keys of the servers that the events report as leaving. They come last and are left out if there are none,
+// because VMs of earlier versions ignore what follows the parts that they know.
+func (m *message) encodeLeaving(b []byte) []byte {
+	keys := lo.FilterMap(m.events, func(e Event, _ int) (balance.ServerKey, bool) { return e.Key, e.Leaving })
+	if len(keys) == 0 {
+		return b
+	}
+	b = msgp.AppendArrayHeader(b, uint32(len(keys)))
+	for _, key := range keys {
+		b = msgp.AppendUint64(b, uint64(key))
+	}
+	return b
+}
+
 func digestFields(d *directory.Digest) [7]*int64 {
 	return [7]*int64{&d.ConfigVersion, &d.ServersRevision, &d.ConfigNext, &d.ServersNext, &d.AgeMillis, &d.Reader, &d.Reading}
 }
@@ -208,6 +230,9 @@
 	if m.hasDigest() {
 		decodeDigest(d, m)
 	}
+	if len(d.remaining) > 0 {
+		decodeLeaving(d, m)
+	}
 	if d.err != nil {
 		return nil, errors.Mark(d.err, ErrInvalidDatagram)
 	}
@@ -235,6 +260,15 @@
 	}
 }
 
+func decodeLeaving(d *decoder, m *message) {
+	for range d.length(msgp.ReadArrayHeaderBytes) {
+		key := balance.ServerKey(decodeNext(d, msgp.ReadUint64Bytes))
+		for i := range m.events {
+			m.events[i].Leaving = m.events[i].Leaving || m.events[i].Key == key
+		}
+	}
+}
+
 func decodeEvent(d *decoder) Event {
 	e := Event{Key: balance.ServerKey(decodeNext(d, msgp.ReadUint64Bytes)), Count: max(0, decodeNext(d, msgp.ReadIntBytes))}
 	if outcome := decodeNext(d, msgp.ReadIntBytes); outcome >= 0 && outcome <= int(balance.Cancelled) {
--- a/pkg/loadshare/message_test.go
+++ b/pkg/loadshare/message_test.go
@@ -21,7 +21,7 @@
 	return message{vm: "v", dataCentre: "d", region: "r", capacity: 160, start: 5, sequence: 9, kind: kindHeartbeat, complete: true,
 		known: 12, subscribe: true,
 		counts: map[balance.ServerKey]int{7: 2},
-		events: []Event{{Key: 7, Count: 2}, {Key: 8, Outcome: &outcome,
+		events: []Event{{Key: 7, Count: 2, Leaving: true}, {Key: 8, Outcome: &outcome,
 			LoadReport: &balance.LoadReport{Running: 1, Waiting: 2, Slowdown: 1.5},
 			reportAge:  30 * time.Millisecond}},
 		digest: directory.Digest{ConfigVersion: 3, ServersRevision: 4, ConfigNext: 5, ServersNext: 6, AgeMillis: 7,
@@ -38,6 +38,19 @@
 		Expect(*decoded).To(Equal(m))
 	})
 
+	// Guards against VMs of an earlier version that drop the datagrams of this one, or the reverse, while VMs are replaced: what a
+	// message has gained follows the parts that the earlier version reads, and may be missing.
+	It("is what the earlier version knows, followed by the servers that are leaving", func() {
+		m := exampleMessage()
+		whole := m.encode(nil)
+		m.events[0].Leaving = false
+		earlier := m.encode(nil)
+		Expect(whole[:len(earlier)]).To(Equal(earlier))
+		decoded, err := decode(earlier)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(*decoded).To(Equal(m))
+	})
+
 	// Guards against VMs of different versions that misinterpret each other's datagrams while VMs are replaced.
 	It("rejects another version", func() {
 		m := exampleMessage()
--- a/pkg/loadshare/receive.go
+++ b/pkg/loadshare/receive.go
@@ -8,6 +8,8 @@
 
 	"github.com/cockroachdb/errors"
 	"k8s.io/klog/v2"
+
+	"github.com/hornbeamway/hornbeamway/pkg/balance"
 )
 
 func (s *Sharer) receive(ctx context.Context) error {
@@ -112,6 +114,16 @@
 		if e.LoadReport != nil {
 			s.Balancer.RecordLoadReport(e.Key, *e.LoadReport, e.ReportedAt)
 		}
+		if e.Leaving {
+			s.recordLeaving(e.Key, m.vm, now)
+		}
+	}
+}
+
+// recordLeaving records that a server has told another VM that it is leaving.
+func (s *Sharer) recordLeaving(key balance.ServerKey, vm string, now time.Time) {
+	if server := s.Balancer.RecordPeerLeaving(key, now); server != nil {
+		klog.InfoS("another VM reports that a server is leaving", "server", server.ID, "service", server.Service, "reportedBy", vm)
 	}
 }
 
--- a/pkg/loadshare/sharer_test.go
+++ b/pkg/loadshare/sharer_test.go
@@ -76,6 +76,16 @@
 		Eventually(b.digests).Should(Receive(HaveField("ConfigVersion", int64(4))))
 	})
 
+	// Guards against VMs that each send a request to a leaving server before they know, although one of them has been told.
+	It("tells the VMs of the region that a server is leaving", func() {
+		a, b := startVM("a", "r"), startVM("b", "r")
+		a.AddPeers([]string{b.Address()})
+		Eventually(a.LiveInRegion).Should(ConsistOf(b.Address()))
+		key := balance.ServerKeyOf(testServer)
+		a.Publish(loadshare.Event{Key: key, Leaving: true})
+		Eventually(func() balance.Availability { return b.balancer.Availability(key, time.Now()) }).Should(Equal(balance.Leaving))
+	})
+
 	// Guards against in-flight requests of a killed VM that other VMs count forever, so that its servers seem busy.
 	It("removes the requests of an unreachable VM", func() {
 		a, b := startVM("a", "r"), startVM("b", "r")
--- a/pkg/prober/prober.go
+++ b/pkg/prober/prober.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 	"k8s.io/klog/v2"
 
+	"github.com/hornbeamway/hornbeamway/pkg/availability"
 	"github.com/hornbeamway/hornbeamway/pkg/balance"
 	"github.com/hornbeamway/hornbeamway/pkg/clock"
 	"github.com/hornbeamway/hornbeamway/pkg/directory"
@@ -69,7 +70,9 @@
 // Prober probes backend servers for their load reports.
 type Prober struct {
 	Options
-	inFlight chan struct{}
+	// availability records what servers state about their availability.
+	availability availability.Recorder
+	inFlight     chan struct{}
 
 	// assigned are the servers that this VM probes, as computed at assignedAt.
 	assigned   []*directory.Server
@@ -83,7 +86,9 @@
 
 // New returns a Prober with the given dependencies.
 func New(o Options) *Prober {
-	return &Prober{Options: o, inFlight: make(chan struct{}, maxProbes), notBefore: map[balance.ServerKey]time.Time{}}
+	return &Prober{Options: o,
+		availability: availability.Recorder{Clock: o.Clock, Balancer: o.Balancer, Servers: o.Transport, Publish: o.Publish},
+		inFlight:     make(chan struct{}, maxProbes), notBefore: map[balance.ServerKey]time.Time{}}
 }
 
 // Run probes servers until ctx is cancelled.
@@ -151,7 +156,7 @@
 	p.mu.Lock()
 	_, paused := p.notBefore[key]
 	p.mu.Unlock()
-	if paused {
+	if paused || p.Balancer.Availability(key, now) != balance.Available {
 		return false
 	}
 	age, hasReport := p.Balancer.LoadReportAge(key, now)
@@ -191,6 +196,9 @@
 		return
 	}
 	head := p.Responses.ReadProbe(&resp.Header)
+	if head.ServerID == s.ID || head.ServerID == "" {
+		p.availability.Record(s, head.Statement, "probe")
+	}
 	if head.ServerID != s.ID || head.LoadReport == nil {
 		probeFailures.Inc()
 		klog.InfoS("probe response has no load report of the probed server", "server", s.ID, "answeredBy", head.ServerID,
--- a/pkg/prober/prober_test.go
+++ b/pkg/prober/prober_test.go
@@ -35,6 +35,7 @@
 	if slowdown, err := strconv.ParseFloat(string(h.Peek("Slowness")), 64); err == nil {
 		head.LoadReport = &balance.LoadReport{Slowdown: slowdown}
 	}
+	head.Statement.Leaving = len(h.Peek("Leaving")) > 0
 	return head
 }
 
@@ -55,7 +56,9 @@
 		state    *directory.State
 		server   *directory.Server
 		shared   chan loadshare.Event
+		leaving  bool
 	)
+	BeforeEach(func() { leaving = false })
 	urgentRequest := balance.Request{Service: "s", Work: 300 * time.Millisecond, Objective: 800 * time.Millisecond}
 
 	startProber := func(id string, assigned bool) {
@@ -67,6 +70,9 @@
 			probes.Add(1)
 			w.Header().Set("Server-Id", id)
 			w.Header().Set("Slowness", "5")
+			if leaving {
+				w.Header().Set("Leaving", "1")
+			}
 		})}
 		go func() { _ = httpServer.Serve(l) }()
 		DeferCleanup(httpServer.Close)
@@ -118,6 +124,17 @@
 		Expect(probes.Load()).To(BeEquivalentTo(1))
 	})
 
+	// Guards against requests to a server that has stated to a probe only that it is leaving, and against further probes of it.
+	It("records that a server is leaving, tells the other VMs, and probes it no more", func() {
+		leaving = true
+		startProber("a", true)
+		balancer.Pick(urgentRequest, time.Now())
+		Eventually(shared).Should(Receive(HaveField("Leaving", true)))
+		Expect(balancer.Availability(balance.ServerKeyOf(server), time.Now())).To(Equal(balance.Leaving))
+		balancer.Pick(urgentRequest, time.Now())
+		Consistently(probes.Load, "300ms").Should(BeEquivalentTo(1))
+	})
+
 	// Guards against probing for requests that meet their objective even on a slow server.
 	It("does not probe the servers of a service whose objectives are long for its work", func() {
 		startProber("a", true)
