--- a/pkg/gateway/leaving_test.go
+++ b/pkg/gateway/leaving_test.go
@@ -94,6 +94,37 @@
 		f.applyServer(4, directory.Server{ID: "s0", Address: first.address, Incarnation: 1})
 		Expect(f.roundTrip("GET", "/safe/", "third").StatusCode).To(Equal(200))
 	})
+
+	// Guards against a statement that is forgotten when the record of the running server arrives after it: the VM knew an earlier
+	// start of the server, or a record without a start time, under the same id and address.
+	DescribeTable("sends nothing to the server after its record has caught up", func(known int64) {
+		bornAt := time.Now().Add(-time.Minute).UnixMilli()
+		first, second := startBackend(respondLeaving), startBackend(respondCorrectly)
+		f := startGateway(first, second)
+		f.applyServer(2, directory.Server{ID: "s0", Address: first.address, Incarnation: known})
+		Expect(f.roundTrip("GET", "/safe/", "first").StatusCode).To(Equal(200))
+		f.applyServer(3, directory.Server{ID: "s0", Address: first.address, Incarnation: bornAt})
+		for i := range requests {
+			f.roundTrip("GET", "/safe/", fmt.Sprint("later-", i))
+		}
+		Expect(first.count()).To(Equal(1))
+	},
+		Entry("from an earlier start", time.Now().Add(-time.Hour).UnixMilli()),
+		Entry("from a record without a start time", int64(0)),
+	)
+
+	// Guards against a statement that is forgotten when a record without a start time replaces that of the running server, which
+	// has been removed meanwhile.
+	It("sends nothing to the server when a record without a start time names it again", func() {
+		first, second := startBackend(respondLeaving), startBackend(respondCorrectly)
+		f := startGateway(first, second)
+		f.applyServer(2, directory.Server{ID: "s0", Address: first.address, Incarnation: time.Now().Add(-time.Minute).UnixMilli()})
+		Expect(f.roundTrip("GET", "/safe/", "first").StatusCode).To(Equal(200))
+		f.applyServer(3, directory.Server{ID: "other", Address: second.address})
+		f.applyServer(4, directory.Server{ID: "s0", Address: first.address})
+		f.roundTrip("GET", "/safe/", "later")
+		Expect(first.count()).To(Equal(1))
+	})
 })
 
 var _ = Describe("Gateway with a server that wants no requests for some time", func() {
@@ -126,6 +157,32 @@
 		Expect(first.count()).To(BeZero())
 	})
 
+	// Guards against callers that are told to stay away for the hold of one server, although the other is only full for a moment.
+	It("does not name the hold of one server to a caller whose request another one has refused", func() {
+		const longHold = 30 * time.Second
+		busy := startBackend(func(r *receivedRequest, c net.Conn) bool { return writeResponse(c, r, 503, "", "Not-Run: 1") })
+		held := startBackend(respondCorrectly)
+		f := startGateway(busy, held)
+		key := balance.ServerKeyOf(f.state.View().Servers["s1"])
+		f.balancer.RecordStatement(key, balance.Statement{RetryAfter: fmt.Sprint(longHold.Seconds())}, time.Now())
+		a := f.roundTrip("POST", "/once/", "order")
+		Expect(a.StatusCode).To(Equal(503))
+		seconds, err := strconv.ParseFloat(a.Header.Get("Retry-After"), 64)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(seconds).To(BeNumerically("<=", objective.Seconds()))
+	})
+
+	// Guards against a request that is refused although another server could run it: an attempt that was not written has not used
+	// up one of the servers that the route allows.
+	It("sends a request of a route with one attempt to another server if it has not been written", func() {
+		first, second := startBackend(respondCorrectly), startBackend(respondCorrectly)
+		f := startGateway(first, second)
+		f.Dialect = holdBeforeWrite{f: f, key: balance.ServerKeyOf(f.state.View().Servers["s0"])}
+		Expect(f.roundTrip("GET", "/bulk/", "download").StatusCode).To(Equal(200))
+		Expect(first.count()).To(BeZero())
+		Expect(second.count()).To(Equal(1))
+	})
+
 	// Guards against callers that come back before there is a server for them: the refusal used to name a tenth of the objective.
 	It("refuses at once, with a Retry-After that is true, when all servers are so", func() {
 		f := startGateway(startBackend(respondHoldingOff))
--- a/pkg/gateway/refusalcopy_test.go
+++ b/pkg/gateway/refusalcopy_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -81,4 +82,15 @@
 		Expect(f.roundTrip("POST", "/once/", "order").StatusCode).To(Equal(200))
 		Expect(server.ran.Load()).To(BeEquivalentTo(1))
 	})
+
+	// Guards against a promise that rests on a response which names no request, such as the copy of a health check's refusal, if the
+	// request has no id either.
+	It("does not take a refusal that names no request for that of a request without an id", func() {
+		b := startBackend(func(r *receivedRequest, c net.Conn) bool {
+			_, _ = io.WriteString(c, "HTTP/1.1 503 X\r\nContent-Length: 0\r\nNot-Run: 1\r\n\r\n")
+			return respondCorrectly(r, c)
+		})
+		f := startGateway(b)
+		Expect(f.roundTrip("POST", "/once/", "").StatusCode).NotTo(Equal(503))
+	})
 })
--- a/pkg/prober/prober_test.go
+++ b/pkg/prober/prober_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -36,6 +37,9 @@
 		head.LoadReport = &balance.LoadReport{Slowdown: slowdown}
 	}
 	head.Statement.Leaving = len(h.Peek("Leaving")) > 0
+	if h.StatusCode() == fasthttp.StatusServiceUnavailable {
+		head.Statement.RetryAfter = string(h.Peek(fasthttp.HeaderRetryAfter))
+	}
 	return head
 }
 
@@ -57,8 +61,10 @@
 		server   *directory.Server
 		shared   chan loadshare.Event
 		leaving  bool
+		// copiedRefusal is written to the connection before the response to each probe.
+		copiedRefusal string
 	)
-	BeforeEach(func() { leaving = false })
+	BeforeEach(func() { leaving, copiedRefusal = false, "" })
 	urgentRequest := balance.Request{Service: "s", Work: 300 * time.Millisecond, Objective: 800 * time.Millisecond}
 
 	startProber := func(id string, assigned bool) {
@@ -73,6 +79,12 @@
 			if leaving {
 				w.Header().Set("Leaving", "1")
 			}
+			if copiedRefusal != "" {
+				c, _, err := http.NewResponseController(w).Hijack()
+				Expect(err).NotTo(HaveOccurred())
+				_, _ = io.WriteString(c, copiedRefusal+
+					"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nServer-Id: "+id+"\r\nSlowness: 5\r\n\r\n")
+			}
 		})}
 		go func() { _ = httpServer.Serve(l) }()
 		DeferCleanup(httpServer.Close)
@@ -135,6 +147,18 @@
 		Consistently(probes.Load, "300ms").Should(BeEquivalentTo(1))
 	})
 
+	// Guards against a server that is held off a second time by the copy of its refusal of a request, which arrives where the response
+	// to a probe is due.
+	It("does not take the response to a request for that to a probe", func() {
+		copiedRefusal = "HTTP/1.1 503 X\r\nContent-Length: 0\r\nId: order\r\nNot-Run: 1\r\nRetry-After: 30\r\n\r\n"
+		startProber("a", true)
+		balancer.Pick(urgentRequest, time.Now())
+		Eventually(probes.Load).Should(BeNumerically(">=", 1))
+		Consistently(func() balance.Availability {
+			return balancer.Availability(balance.ServerKeyOf(server), time.Now())
+		}, "300ms").Should(Equal(balance.Available))
+	})
+
 	// Guards against probing for requests that meet their objective even on a slow server.
 	It("does not probe the servers of a service whose objectives are long for its work", func() {
 		startProber("a", true)
--- a/pkg/upstream/upstream_test.go
+++ b/pkg/upstream/upstream_test.go
@@ -274,6 +274,24 @@
 		Expect(s.connections.Load()).To(BeEquivalentTo(2))
 	})
 
+	// Guards against the response to a request that is lost because the copy of a response to a HEAD request, which has a length and no
+	// body, is skipped with the bytes that follow it.
+	It("skips the copy of a response without a body", func() {
+		s := serve(func(_ int, _ string, c net.Conn) bool {
+			_, _ = fmt.Fprint(c, "HTTP/1.1 304 X\r\nContent-Length: 30\r\nFor: other\r\n\r\n")
+			return writeResponse(c, "own")
+		})
+		a := upstream.Attempt{Address: s.address, Idempotent: true, Deadline: time.Now().Add(time.Second),
+			Classify: func(h *fasthttp.ResponseHeader) upstream.Verdict {
+				if len(h.Peek("For")) > 0 {
+					return upstream.Foreign
+				}
+				return upstream.Accepted
+			}}
+		Expect(transport.RoundTrip(ctx, a, request("GET", "/"), resp)).To(Succeed())
+		Expect(string(resp.Body())).To(Equal("own"))
+	})
+
 	// Guards against the copy of a refusal that is read as the response to the same request, and against a connection that keeps
 	// the ids of all requests that it has ever refused.
 	It("sends a request on no connection that has refused it, and replaces a connection after many refusals", func() {
