--- a/pkg/upstream/upstream_test.go
+++ b/pkg/upstream/upstream_test.go
@@ -274,7 +274,7 @@
 		Expect(s.connections.Load()).To(BeEquivalentTo(2))
 	})
 
-	// Guards against the response to a request that is lost because the copy of a response to a HEAD request, which has a length and no
+	// Guards against the response to a request that is lost because the copy of a response with a length and no
 	// body, is skipped with the bytes that follow it.
 	It("skips the copy of a response without a body", func() {
 		s := serve(func(_ int, _ string, c net.Conn) bool {
