balance: keep a server's statement when its record arrives after it

Cause: the key of a statement named a start, and a response does not say which start it comes from. Fix: statements are kept by the id of the server with the time they were heard. They apply to the start that was known, and for 2 minutes to any other that is not later than the statement (2 s of difference between clocks). A record without a start time keeps a server out for 2 minutes only. Hints of peer VMs count for listed servers only. A hold is also named to callers only if holds alone leave no server: with one server held off for 30 s and the other full for a moment, callers got Retry-After 30. The specs that used 1970 as a later start use one that is later than the statement.

--- a/pkg/availability/recorder.go
+++ b/pkg/availability/recorder.go
@@ -34,8 +34,7 @@
 // Record applies a statement of a server. source names the request or probe that the response belongs to.
 func (r *Recorder) Record(server *directory.Server, s balance.Statement, source string) {
 	now := r.Clock.Now()
-	key := balance.ServerKeyOf(server)
-	change := r.Balancer.RecordStatement(key, s, now)
+	change := r.Balancer.RecordStatement(server, s, now)
 	if change.Err != nil {
 		oddStatements.Inc()
 		klog.InfoS("a server sent an odd Retry-After", "server", server.ID, "service", server.Service, "source", source, "hold",
@@ -50,6 +49,7 @@
 		leavingStatements.Inc()
 		klog.InfoS("a server states that it is leaving", "server", server.ID, "service", server.Service, "source", source,
 			"listedAsLeaving", server.Leaving)
+		key := balance.ServerKeyOf(server)
 		r.Publish(loadshare.Event{Key: key, Count: r.Balancer.OwnInFlightAt(key), Leaving: true})
 		r.Servers.CloseIdle(server.Address)
 	}
--- a/pkg/balance/availability.go
+++ b/pkg/balance/availability.go
@@ -1,7 +1,6 @@
 package balance
 
 import (
-	"cmp"
 	"maps"
 	"math"
 	"net/http"
@@ -26,6 +25,12 @@
 	// peerLeavingTTL is how long a server is not used because a peer VM was told that it is leaving. It covers the time in which a
 	// leaving server usually exits.
 	peerLeavingTTL = 30 * time.Second
+	// otherStartTTL is how long a statement applies to a listed start of the server that is not the one which this VM knew when it
+	// heard the statement, but is not later than it. It covers the time in which a leaving server exits.
+	otherStartTTL = 2 * time.Minute
+	// clockMargin is by how much the clocks of a server and of this VM may differ. A leaving server serves for seconds before it
+	// exits, so that its next start is later by more than that.
+	clockMargin = 2 * time.Second
 	// maxAvailabilities bounds the servers whose statements are kept. The ones that changed least recently are dropped first.
 	maxAvailabilities = 4096
 )
@@ -59,14 +64,26 @@
 // String returns the name for logs.
 func (a Availability) String() string { return availabilityNames[a] }
 
-// availability is what is known of one start of a server from its own responses. It is kept whether or not the server is
-// listed: a list that is older than the response may contain the server, or miss it for a while.
+// availability is what is known of a server from its own responses. It is kept by the id of the server, whether or not the server is
+// listed: a list that is older than the response may contain the server, or an earlier start of it, or miss it for a while.
 type availability struct {
-	leaving bool
+	// incarnation is the start of the server that this VM knew when it heard the statement, at heardAt.
+	incarnation int64
+	heardAt     time.Time
+	leaving     bool
 	// peerLeavingUntil is the end of the time for which the statement of a peer VM applies.
 	peerLeavingUntil time.Time
 	heldUntil        time.Time
-	changedAt        time.Time
+}
+
+// appliesTo reports whether the statement is that of a listed start of the server. A statement does not say which start it comes from:
+// the server may have started again without this VM knowing. A start that is not later than the statement is therefore taken for
+// that of the statement, for as long as this may be so.
+func (a *availability) appliesTo(incarnation int64, now time.Time) bool {
+	if incarnation == a.incarnation && incarnation != 0 {
+		return true
+	}
+	return incarnation <= a.heardAt.Add(clockMargin).UnixMilli() && now.Sub(a.heardAt) < otherStartTTL
 }
 
 // at returns the availability at a time.
@@ -114,15 +131,15 @@
 }
 
 // RecordStatement applies what a response of a server says about its availability. It remains in force until the server starts
-// again, which gives it another key, whatever the store or peer VMs say.
-func (b *Balancer) RecordStatement(key ServerKey, s Statement, now time.Time) (change StatementChange) {
+// again, whatever the store or peer VMs say.
+func (b *Balancer) RecordStatement(server *directory.Server, s Statement, now time.Time) (change StatementChange) {
 	if s == (Statement{}) {
 		return change
 	}
 	change.Hold, change.Err = parseHold(s.RetryAfter, now)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	a := b.availabilityFor(key, now)
+	a := b.availabilityForChange(server, now)
 	change.Leaving = s.Leaving && !a.leaving
 	a.leaving = a.leaving || s.Leaving
 	if until := now.Add(change.Hold); change.Hold > 0 && until.After(a.heldUntil) {
@@ -132,32 +149,36 @@
 	return change
 }
 
-// RecordPeerLeaving applies that a server has told a peer VM that it is leaving. It returns the server if that was not known and
-// the server is listed, and nil otherwise.
+// RecordPeerLeaving applies that a listed server has told a peer VM that it is leaving. It returns the server if that was not known,
+// and nil otherwise.
 func (b *Balancer) RecordPeerLeaving(key ServerKey, now time.Time) *directory.Server {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	known := b.availabilities[key].at(now) == Leaving
-	b.availabilityFor(key, now).peerLeavingUntil = now.Add(peerLeavingTTL)
-	if s, listed := b.servers[key]; listed && !known {
-		return s.info
+	s, listed := b.servers[key]
+	if !listed {
+		return nil
+	}
+	known := b.availabilityOf(s.info, now).at(now) == Leaving
+	b.availabilityForChange(s.info, now).peerLeavingUntil = now.Add(peerLeavingTTL)
+	if known {
+		return nil
 	}
-	return nil
+	return s.info
 }
 
 // Availability returns whether a server may get requests.
-func (b *Balancer) Availability(key ServerKey, now time.Time) Availability {
+func (b *Balancer) Availability(server *directory.Server, now time.Time) Availability {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.availabilities[key].at(now)
+	return b.availabilityOf(server, now).at(now)
 }
 
 // CountUnavailable returns the number of listed servers that are leaving by a statement of theirs, and of those that are held off.
 func (b *Balancer) CountUnavailable(now time.Time) (leaving, heldOff int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for key := range b.servers {
-		switch b.availabilities[key].at(now) {
+	for _, s := range b.servers {
+		switch b.availabilityOf(s.info, now).at(now) {
 		case Leaving:
 			leaving++
 		case HeldOff:
@@ -167,29 +188,38 @@
 	return leaving, heldOff
 }
 
-// availabilityFor returns the record of a server for a change. The caller holds the lock.
-func (b *Balancer) availabilityFor(key ServerKey, now time.Time) *availability {
-	a, ok := b.availabilities[key]
-	if !ok {
+// availabilityOf returns what is known of a start of a server, nil if nothing is. The caller holds the lock.
+func (b *Balancer) availabilityOf(server *directory.Server, now time.Time) *availability {
+	a, ok := b.availabilities[server.ID]
+	if !ok || !a.appliesTo(server.Incarnation, now) {
+		return nil
+	}
+	return a
+}
+
+// availabilityForChange returns the record of a start of a server for a change. The caller holds the lock.
+func (b *Balancer) availabilityForChange(server *directory.Server, now time.Time) *availability {
+	a := b.availabilityOf(server, now)
+	if a == nil {
 		if len(b.availabilities) >= maxAvailabilities {
 			b.dropAvailabilities(now)
 		}
 		a = &availability{}
-		b.availabilities[key] = a
+		b.availabilities[server.ID] = a
 	}
-	a.changedAt = now
+	a.incarnation, a.heardAt = server.Incarnation, now
 	return a
 }
 
 // dropAvailabilities makes room for further records: it drops the outdated ones, or the one that changed least recently if there
 // are none.
 func (b *Balancer) dropAvailabilities(now time.Time) {
-	maps.DeleteFunc(b.availabilities, func(_ ServerKey, a *availability) bool { return a.outdated(now) })
+	maps.DeleteFunc(b.availabilities, func(_ string, a *availability) bool { return a.outdated(now) })
 	if len(b.availabilities) < maxAvailabilities {
 		return
 	}
-	oldest := slices.MinFunc(slices.Collect(maps.Keys(b.availabilities)), func(x, y ServerKey) int {
-		return cmp.Compare(b.availabilities[x].changedAt.UnixNano(), b.availabilities[y].changedAt.UnixNano())
+	oldest := slices.MinFunc(slices.Collect(maps.Keys(b.availabilities)), func(x, y string) int {
+		return b.availabilities[x].heardAt.Compare(b.availabilities[y].heardAt)
 	})
 	delete(b.availabilities, oldest)
 }
--- a/pkg/balance/availability_test.go
+++ b/pkg/balance/availability_test.go
@@ -14,7 +14,8 @@
 
 var _ = Describe("Availability", func() {
 	x, y := server("x", "a1", "a"), server("y", "a1", "a")
-	keyX, keyY := balance.ServerKeyOf(x), balance.ServerKeyOf(y)
+	x.Incarnation, y.Incarnation = start.Add(-time.Hour).UnixMilli(), start.Add(-time.Hour).UnixMilli()
+	keyX := balance.ServerKeyOf(x)
 	leaving := balance.Statement{Leaving: true}
 
 	// share returns how often the first of two servers is picked.
@@ -33,32 +34,51 @@
 	// statement.
 	It("keeps a leaving server out when it is listed again, and lets its next start in", func() {
 		b := newBalancer(x, y)
-		Expect(b.RecordStatement(keyX, leaving, start).Leaving).To(BeTrue())
-		Expect(b.RecordStatement(keyX, leaving, start).Leaving).To(BeFalse())
+		Expect(b.RecordStatement(x, leaving, start).Leaving).To(BeTrue())
+		Expect(b.RecordStatement(x, leaving, start).Leaving).To(BeFalse())
 		b.SetServers(&directory.View{ByService: map[string][]*directory.Server{"s": {y}}})
 		b.SetServers(&directory.View{ByService: map[string][]*directory.Server{"s": {x, y}}})
 		Expect(share(b, start.Add(time.Hour))).To(BeZero())
 		next := *x
-		next.Incarnation = 1
+		next.Incarnation = start.Add(10 * time.Second).UnixMilli()
 		b.SetServers(&directory.View{ByService: map[string][]*directory.Server{"s": {&next, y}}})
 		Expect(share(b, start.Add(time.Hour))).To(BeNumerically(">", 0))
 	})
 
+	// Guards against a statement that is forgotten when the list catches up with the start that made it, and against a later start, or
+	// a server whose record states no start, that is kept out for good.
+	DescribeTable("takes a start that is not later than the statement for the one that made it", func(incarnation time.Time, want balance.Availability) {
+		b := newBalancer(x, y)
+		b.RecordStatement(x, leaving, start)
+		listed := *x
+		listed.Incarnation = 0
+		if !incarnation.IsZero() {
+			listed.Incarnation = incarnation.UnixMilli()
+		}
+		b.SetServers(&directory.View{ByService: map[string][]*directory.Server{"s": {&listed, y}}})
+		Expect(b.Availability(&listed, start.Add(time.Minute))).To(Equal(want))
+		Expect(b.Availability(&listed, start.Add(time.Hour))).To(Equal(balance.Available))
+	},
+		Entry("a start shortly before it", start.Add(-time.Second), balance.Leaving),
+		Entry("no start", time.Time{}, balance.Leaving),
+		Entry("a later start", start.Add(5*time.Second), balance.Available),
+	)
+
 	// Guards against a server that is lost for good because a peer VM was wrong about it.
 	It("keeps a server out for a while by what a peer VM reports, and for good by what the server states", func() {
 		b := newBalancer(x, y)
 		Expect(b.RecordPeerLeaving(keyX, start)).To(Equal(x))
 		Expect(b.RecordPeerLeaving(keyX, start)).To(BeNil())
-		Expect(b.Availability(keyX, start.Add(20*time.Second))).To(Equal(balance.Leaving))
-		Expect(b.Availability(keyX, start.Add(time.Minute))).To(Equal(balance.Available))
-		b.RecordStatement(keyX, leaving, start)
-		Expect(b.Availability(keyX, start.Add(time.Minute))).To(Equal(balance.Leaving))
+		Expect(b.Availability(x, start.Add(20*time.Second))).To(Equal(balance.Leaving))
+		Expect(b.Availability(x, start.Add(time.Minute))).To(Equal(balance.Available))
+		b.RecordStatement(x, leaving, start)
+		Expect(b.Availability(x, start.Add(time.Minute))).To(Equal(balance.Leaving))
 	})
 
 	// Guards against a server that has asked for a pause and gets all requests at once at its end, which it turns away again.
 	It("lets requests come back gradually after a hold", func() {
 		b := newBalancer(x, y)
-		b.RecordStatement(keyX, balance.Statement{RetryAfter: "2.5"}, start)
+		b.RecordStatement(x, balance.Statement{RetryAfter: "2.5"}, start)
 		Expect(share(b, start.Add(2499*time.Millisecond))).To(BeZero())
 		Expect(share(b, start.Add(2600*time.Millisecond))).To(BeNumerically("~", 0.05, 0.04))
 		Expect(share(b, start.Add(3000*time.Millisecond))).To(BeNumerically("~", 0.25, 0.08))
@@ -68,16 +88,16 @@
 	// Guards against a shorter hold that ends a longer one.
 	It("holds until the latest end that a server has named", func() {
 		b := newBalancer(x)
-		b.RecordStatement(keyX, balance.Statement{RetryAfter: "3"}, start)
-		b.RecordStatement(keyX, balance.Statement{RetryAfter: "1"}, start.Add(time.Second))
-		Expect(b.Availability(keyX, start.Add(2900*time.Millisecond))).To(Equal(balance.HeldOff))
+		b.RecordStatement(x, balance.Statement{RetryAfter: "3"}, start)
+		b.RecordStatement(x, balance.Statement{RetryAfter: "1"}, start.Add(time.Second))
+		Expect(b.Availability(x, start.Add(2900*time.Millisecond))).To(Equal(balance.HeldOff))
 	})
 
 	// Guards against callers who are told nothing of when a server is available again.
 	It("tells when the first hold ends if all servers are held off", func() {
 		b := newBalancer(x, y)
-		b.RecordStatement(keyX, balance.Statement{RetryAfter: "3"}, start)
-		b.RecordStatement(keyY, balance.Statement{RetryAfter: "2"}, start)
+		b.RecordStatement(x, balance.Statement{RetryAfter: "3"}, start)
+		b.RecordStatement(y, balance.Statement{RetryAfter: "2"}, start)
 		c, ok := b.Pick(lookup, start.Add(time.Second))
 		Expect(ok).To(BeFalse())
 		Expect(c.HeldOff).To(Equal(time.Second))
@@ -87,7 +107,7 @@
 
 	// Guards against a corrupt value that keeps a server out for ever, and against one that is taken for no hold without a trace.
 	DescribeTable("bounds an odd Retry-After", func(value string, want time.Duration) {
-		change := newBalancer(x).RecordStatement(keyX, balance.Statement{RetryAfter: value}, start)
+		change := newBalancer(x).RecordStatement(x, balance.Statement{RetryAfter: value}, start)
 		Expect(change.Hold).To(Equal(want))
 		Expect(change.Err).To(MatchError(balance.ErrRetryAfter))
 	},
@@ -104,10 +124,10 @@
 		const servers = 5000
 		for i := range servers {
 			s := server(fmt.Sprint("server-", i), "a1", "a")
-			b.RecordStatement(balance.ServerKeyOf(s), leaving, start.Add(time.Duration(i)*time.Second))
+			b.RecordStatement(s, leaving, start.Add(time.Duration(i)*time.Second))
 		}
 		first, last := server("server-0", "a1", "a"), server(fmt.Sprint("server-", servers-1), "a1", "a")
-		Expect(b.Availability(balance.ServerKeyOf(first), start)).To(Equal(balance.Available))
-		Expect(b.Availability(balance.ServerKeyOf(last), start)).To(Equal(balance.Leaving))
+		Expect(b.Availability(first, start)).To(Equal(balance.Available))
+		Expect(b.Availability(last, start)).To(Equal(balance.Leaving))
 	})
 })
--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -77,7 +77,7 @@
 	// none.
 	Slowdown  float64
 	ReportAge time.Duration
-	// HeldOff is set if there is no server because of holds: the time until the first of them ends.
+	// HeldOff is set if there is no server because of holds alone: the time until the first of them ends.
 	HeldOff time.Duration
 }
 
@@ -111,7 +111,8 @@
 	dataCentreOnly bool
 	services       map[string]*serviceState
 	servers        map[ServerKey]*serverState
-	availabilities map[ServerKey]*availability
+	// availabilities holds what servers have stated about themselves, by server id.
+	availabilities map[string]*availability
 	random         *rand.Rand
 }
 
@@ -146,7 +147,7 @@
 // New returns the balancer of a VM at the location self. The seed determines how ties between servers are broken.
 func New(self Location, seed uint64) *Balancer {
 	return &Balancer{self: self, services: map[string]*serviceState{}, servers: map[ServerKey]*serverState{},
-		availabilities: map[ServerKey]*availability{},
+		availabilities: map[string]*availability{},
 		peerCounts:     map[string]map[ServerKey]int{}, random: rand.New(rand.NewPCG(seed, seed))}
 }
 
@@ -191,13 +192,19 @@
 		svc.lastUrgentAt = now
 	}
 	best, bestCost := (*serverState)(nil), 0.0
+	// triedAvailable is true if the request was already sent to a server that may get further ones.
+	triedAvailable := false
 	for _, s := range svc.servers {
-		a := b.availabilities[s.key]
+		a := b.availabilityOf(s.info, now)
 		status := a.at(now)
 		if left := a.holdLeft(now); status == HeldOff && (c.HeldOff == 0 || left < c.HeldOff) {
 			c.HeldOff = left
 		}
-		if status != Available || s.misdirected || excluded(r.Exclude, s.key) {
+		if status != Available || s.misdirected {
+			continue
+		}
+		if excluded(r.Exclude, s.key) {
+			triedAvailable = true
 			continue
 		}
 		cost := b.cost(svc, s, r, now) + b.random.Float64()*tieBreakRange
@@ -209,6 +216,9 @@
 		}
 	}
 	if best == nil {
+		if triedAvailable {
+			c.HeldOff = 0
+		}
 		return c, false
 	}
 	slowdown := best.slowdown(svc, now)
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -125,7 +125,7 @@
 // checkBeforeWrite reports whether the request may still be sent. Opening a connection can take so long that the server has become
 // unavailable by a response to another request.
 func (a *attempt) checkBeforeWrite(ctx context.Context) error {
-	if a.gateway.Balancer.Availability(a.choice.Key, a.gateway.Clock.Now()) != balance.Available {
+	if a.gateway.Balancer.Availability(a.choice.Server, a.gateway.Clock.Now()) != balance.Available {
 		return errUnavailable
 	}
 	return ctx.Err()
--- a/pkg/gateway/hold_test.go
+++ b/pkg/gateway/hold_test.go
@@ -32,7 +32,7 @@
 }
 
 type heldRequest struct {
-	key        balance.ServerKey
+	server     *directory.Server
 	end        time.Time
 	timely     bool
 	turnedAway bool
@@ -95,7 +95,7 @@
 	r.balancer.Begin(choice.Key)
 	if turnsAway(choice.Server, elapsed) {
 		r.turnedAway++
-		r.running = append(r.running, heldRequest{key: choice.Key, end: r.now.Add(holdRoundTrip), turnedAway: true})
+		r.running = append(r.running, heldRequest{server: choice.Server, end: r.now.Add(holdRoundTrip), turnedAway: true})
 		if len(sentTo) > 0 || !r.retries.Spend("s") {
 			r.refused++
 			return
@@ -106,7 +106,7 @@
 	work := time.Duration(float64(holdWork) * (0.5 + r.random.Float64()))
 	queued := time.Duration(max(0, choice.InFlight-holdSlots+1)) * holdWork / holdSlots
 	end := r.now.Add(work + queued)
-	r.running = append(r.running, heldRequest{key: choice.Key, end: end, timely: end.Sub(arrivedAt) <= holdObjective})
+	r.running = append(r.running, heldRequest{server: choice.Server, end: end, timely: end.Sub(arrivedAt) <= holdObjective})
 }
 
 // finish ends the requests whose time has come.
@@ -119,10 +119,10 @@
 		if request.turnedAway {
 			outcome = balance.Full
 			if r.keepsHolds {
-				r.balancer.RecordStatement(request.key, balance.Statement{RetryAfter: holdTime}, r.now)
+				r.balancer.RecordStatement(request.server, balance.Statement{RetryAfter: holdTime}, r.now)
 			}
 		}
-		r.balancer.End(request.key, outcome, r.now)
+		r.balancer.End(balance.ServerKeyOf(request.server), outcome, r.now)
 		if request.timely {
 			r.inTime[elapsed/time.Second]++
 		}
--- a/pkg/gateway/leaving_test.go
+++ b/pkg/gateway/leaving_test.go
@@ -23,12 +23,12 @@
 // holdBeforeWrite is a dialect with which a server asks for no requests when the head of a request is being built.
 type holdBeforeWrite struct {
 	plainDialect
-	f   *fixture
-	key balance.ServerKey
+	f      *fixture
+	server *directory.Server
 }
 
 func (d holdBeforeWrite) SetAttempt(h *fasthttp.RequestHeader, left time.Duration, serverID string) {
-	d.f.balancer.RecordStatement(d.key, balance.Statement{RetryAfter: "5"}, time.Now())
+	d.f.balancer.RecordStatement(d.server, balance.Statement{RetryAfter: "5"}, time.Now())
 	d.plainDialect.SetAttempt(h, left, serverID)
 }
 
@@ -91,7 +91,7 @@
 		f.applyServer(3, directory.Server{ID: "s0", Address: first.address})
 		Expect(f.roundTrip("GET", "/safe/", "second").StatusCode).To(Equal(503))
 		Expect(first.count()).To(Equal(1))
-		f.applyServer(4, directory.Server{ID: "s0", Address: first.address, Incarnation: 1})
+		f.applyServer(4, directory.Server{ID: "s0", Address: first.address, Incarnation: time.Now().Add(time.Minute).UnixMilli()})
 		Expect(f.roundTrip("GET", "/safe/", "third").StatusCode).To(Equal(200))
 	})
 
@@ -152,7 +152,7 @@
 	It("sends no request that was chosen before and has not been written", func() {
 		first, second := startBackend(respondCorrectly), startBackend(respondCorrectly)
 		f := startGateway(first, second)
-		f.Dialect = holdBeforeWrite{f: f, key: balance.ServerKeyOf(f.state.View().Servers["s0"])}
+		f.Dialect = holdBeforeWrite{f: f, server: f.state.View().Servers["s0"]}
 		Expect(f.roundTrip("POST", "/once/", "order").StatusCode).To(Equal(200))
 		Expect(first.count()).To(BeZero())
 	})
@@ -163,8 +163,7 @@
 		busy := startBackend(func(r *receivedRequest, c net.Conn) bool { return writeResponse(c, r, 503, "", "Not-Run: 1") })
 		held := startBackend(respondCorrectly)
 		f := startGateway(busy, held)
-		key := balance.ServerKeyOf(f.state.View().Servers["s1"])
-		f.balancer.RecordStatement(key, balance.Statement{RetryAfter: fmt.Sprint(longHold.Seconds())}, time.Now())
+		f.balancer.RecordStatement(f.state.View().Servers["s1"], balance.Statement{RetryAfter: fmt.Sprint(longHold.Seconds())}, time.Now())
 		a := f.roundTrip("POST", "/once/", "order")
 		Expect(a.StatusCode).To(Equal(503))
 		seconds, err := strconv.ParseFloat(a.Header.Get("Retry-After"), 64)
@@ -177,7 +176,7 @@
 	It("sends a request of a route with one attempt to another server if it has not been written", func() {
 		first, second := startBackend(respondCorrectly), startBackend(respondCorrectly)
 		f := startGateway(first, second)
-		f.Dialect = holdBeforeWrite{f: f, key: balance.ServerKeyOf(f.state.View().Servers["s0"])}
+		f.Dialect = holdBeforeWrite{f: f, server: f.state.View().Servers["s0"]}
 		Expect(f.roundTrip("GET", "/bulk/", "download").StatusCode).To(Equal(200))
 		Expect(first.count()).To(BeZero())
 		Expect(second.count()).To(Equal(1))
--- a/pkg/loadshare/sharer_test.go
+++ b/pkg/loadshare/sharer_test.go
@@ -83,7 +83,7 @@
 		Eventually(a.LiveInRegion).Should(ConsistOf(b.Address()))
 		key := balance.ServerKeyOf(testServer)
 		a.Publish(loadshare.Event{Key: key, Leaving: true})
-		Eventually(func() balance.Availability { return b.balancer.Availability(key, time.Now()) }).Should(Equal(balance.Leaving))
+		Eventually(func() balance.Availability { return b.balancer.Availability(testServer, time.Now()) }).Should(Equal(balance.Leaving))
 	})
 
 	// Guards against in-flight requests of a killed VM that other VMs count forever, so that its servers seem busy.
--- a/pkg/prober/prober.go
+++ b/pkg/prober/prober.go
@@ -156,7 +156,7 @@
 	p.mu.Lock()
 	_, paused := p.notBefore[key]
 	p.mu.Unlock()
-	if paused || p.Balancer.Availability(key, now) != balance.Available {
+	if paused || p.Balancer.Availability(s, now) != balance.Available {
 		return false
 	}
 	age, hasReport := p.Balancer.LoadReportAge(key, now)
--- a/pkg/prober/prober_test.go
+++ b/pkg/prober/prober_test.go
@@ -142,7 +142,7 @@
 		startProber("a", true)
 		balancer.Pick(urgentRequest, time.Now())
 		Eventually(shared).Should(Receive(HaveField("Leaving", true)))
-		Expect(balancer.Availability(balance.ServerKeyOf(server), time.Now())).To(Equal(balance.Leaving))
+		Expect(balancer.Availability(server, time.Now())).To(Equal(balance.Leaving))
 		balancer.Pick(urgentRequest, time.Now())
 		Consistently(probes.Load, "300ms").Should(BeEquivalentTo(1))
 	})
@@ -155,7 +155,7 @@
 		balancer.Pick(urgentRequest, time.Now())
 		Eventually(probes.Load).Should(BeNumerically(">=", 1))
 		Consistently(func() balance.Availability {
-			return balancer.Availability(balance.ServerKeyOf(server), time.Now())
+			return balancer.Availability(server, time.Now())
 		}, "300ms").Should(Equal(balance.Available))
 	})
 
