gateway: an attempt of which nothing was sent does not use up the route's attempts

Found by the review: on a route with one attempt, a request whose server asked for a pause while the connection was opened was refused although another server was free; a failed connect did the same. max_attempts counts servers that a request is sent to. One attempt that ended before its first byte no longer counts.

--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -36,9 +36,11 @@
 	// body is the complete body if stream is nil.
 	body   []byte
 	stream *ingress.BodyStream
-	// sentTo lists the servers that the request was sent to. mayHaveRun is true if one of them may have run it.
+	// sentTo lists the servers of all attempts. mayHaveRun is true if one of them may have run it.
 	sentTo     []balance.ServerKey
 	mayHaveRun bool
+	// unsent is the number of attempts of which no byte was sent.
+	unsent int
 	// closeConnection is true if the connection is closed after this response.
 	closeConnection bool
 	// trace describes the attempts in the log.
--- a/pkg/gateway/hedge.go
+++ b/pkg/gateway/hedge.go
@@ -64,7 +64,7 @@
 // reports whether it did.
 func (g *Gateway) startHedge(ctx, superseded context.Context, c *call, p hedgePlan, results chan result) bool {
 	now := g.Clock.Now()
-	if !p.allowed || ctx.Err() != nil || len(c.sentTo) >= c.route.MaxAttempts || c.deadline.Sub(now) < minTimeLeft {
+	if !p.allowed || ctx.Err() != nil || !c.attemptLeft() || c.deadline.Sub(now) < minTimeLeft {
 		return false
 	}
 	if now.Before(p.finalStart) && !g.worthHedging(p, now) {
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -21,6 +21,9 @@
 	noServerRetryAfter = 150 * time.Millisecond
 	// minTimeLeft is the time until the deadline below which a request is no longer sent.
 	minTimeLeft = 5 * time.Millisecond
+	// maxUnsentAttempts is the number of attempts that may fail before a byte was sent, for example to connect, in addition to the
+	// attempts that the route allows.
+	maxUnsentAttempts = 1
 )
 
 // serve admits a request and sends it to backend servers. The error is a *problem.Problem.
@@ -46,7 +49,7 @@
 	if refusal != nil {
 		return refusal
 	}
-	results := make(chan result, c.route.MaxAttempts)
+	results := make(chan result, c.route.MaxAttempts+maxUnsentAttempts)
 	superseded, cancelOthers := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancelOthers()
 	g.startAttempt(ctx, superseded, c, choice, results)
@@ -72,6 +75,9 @@
 				return nil
 			}
 			c.mayHaveRun = c.mayHaveRun || !r.notRun
+			if !r.mayHaveArrived {
+				c.unsent++
+			}
 			if running > 0 {
 				continue
 			}
@@ -117,10 +123,16 @@
 func (g *Gateway) startAttempt(ctx, superseded context.Context, c *call, choice balance.Choice, results chan result) {
 	c.sentTo = append(c.sentTo, choice.Key)
 	a := attempt{gateway: g, route: c.route, id: c.head.ID, choice: choice, deadline: c.deadline, stream: c.stream,
-		req: g.newServerRequest(c, choice.Server.ID), resp: &fasthttp.Response{}, final: len(c.sentTo) >= c.route.MaxAttempts}
+		req: g.newServerRequest(c, choice.Server.ID), resp: &fasthttp.Response{}, final: !c.attemptLeft()}
 	go func() { results <- a.run(ctx, superseded) }()
 }
 
+// attemptLeft reports whether the route allows another attempt. Attempts of which no byte was sent do not count, up to
+// maxUnsentAttempts.
+func (c *call) attemptLeft() bool {
+	return len(c.sentTo)-min(c.unsent, maxUnsentAttempts) < c.route.MaxAttempts
+}
+
 // waitLimits returns how long a request yields to urgent requests of its service.
 func (g *Gateway) waitLimits(c *call) waitLimits {
 	yields := !balance.Urgent(c.route.Objective, g.estimates.work(c.route)) && g.Balancer.Urgent(c.service, g.Clock.Now())
@@ -176,7 +188,7 @@
 // request.
 func (g *Gateway) mayRetry(ctx context.Context, c *call, r result) bool {
 	switch {
-	case len(c.sentTo) >= c.route.MaxAttempts, ctx.Err() != nil, c.stream != nil && c.stream.ReadStarted:
+	case !c.attemptLeft(), ctx.Err() != nil, c.stream != nil && c.stream.ReadStarted:
 		return false
 	case !r.notRun && !c.route.Idempotent:
 		return false
