prober, gateway: believe no response of which it is not known whose it is

Found by the review: a probe took the late copy of a refusal for its own response, so that a server was held off for its Retry-After a second time. And a request without an id accepted any response without one, such as the copy of a refused health check. A response that names a request is now foreign to a probe, which has no id.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -108,9 +108,9 @@
 	head := a.gateway.Dialect.Response(h)
 	a.recordStatement(head)
 	switch {
-	case head.RequestID == a.id && (head.NotRun || head.Misdirected):
+	case a.namedBy(head) && (head.NotRun || head.Misdirected):
 		return upstream.Refused
-	case head.RequestID == a.id:
+	case a.namedBy(head):
 		return upstream.Accepted
 	}
 	countForeignResponse(head.RequestID)
@@ -119,6 +119,9 @@
 	return upstream.Foreign
 }
 
+// namedBy reports whether a response names the request. No response names a request without an id.
+func (a *attempt) namedBy(head ResponseHead) bool { return a.id != "" && head.RequestID == a.id }
+
 // errUnavailable reports that a server has stated meanwhile that it wants no requests.
 var errUnavailable = errors.New("the server states that it is not available")
 
@@ -137,7 +140,7 @@
 	s := head.Statement
 	named := head.ServerID == a.choice.Server.ID
 	switch {
-	case head.RequestID == a.id && (!head.Misdirected || named):
+	case a.namedBy(head) && (!head.Misdirected || named):
 	case named:
 		s.RetryAfter = "" // The time from which on it counts is not known.
 	default:
--- a/pkg/prober/prober.go
+++ b/pkg/prober/prober.go
@@ -46,6 +46,8 @@
 
 // ResponseHead holds the values of the head of the response to a probe.
 type ResponseHead struct {
+	// RequestID is the id of the request that is answered, empty in a response to a probe, which has none.
+	RequestID string
 	// ServerID is the id of the server that sent the response; empty if it is not stated.
 	ServerID string
 	// LoadReport is the server's load report; nil if there is none.
@@ -186,7 +188,7 @@
 	req.Header.SetHost(s.Address)
 	req.Header.SetRequestURI(path)
 	probes.Inc()
-	err := p.Transport.RoundTrip(ctx, upstream.Attempt{Address: s.Address, Idempotent: true,
+	err := p.Transport.RoundTrip(ctx, upstream.Attempt{Address: s.Address, Idempotent: true, Classify: p.classify,
 		Deadline: p.Clock.Now().Add(probeTimeout)}, req, resp)
 	now := p.Clock.Now()
 	if err != nil {
@@ -211,6 +213,15 @@
 	p.pauseUntil(key, now.Add(staleAfter/2))
 }
 
+// classify returns how a response relates to a probe. One that names a request is a late copy of the response to that request, which
+// went over the same connection: its load report and Retry-After have passed.
+func (p *Prober) classify(h *fasthttp.ResponseHeader) upstream.Verdict {
+	if p.Responses.ReadProbe(h).RequestID != "" {
+		return upstream.Foreign
+	}
+	return upstream.Accepted
+}
+
 func (p *Prober) pauseUntil(key balance.ServerKey, until time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/pkg/prober/prober_test.go
+++ b/pkg/prober/prober_test.go
@@ -32,7 +32,7 @@
 type plainHeaders struct{}
 
 func (plainHeaders) ReadProbe(h *fasthttp.ResponseHeader) prober.ResponseHead {
-	head := prober.ResponseHead{ServerID: string(h.Peek("Server-Id"))}
+	head := prober.ResponseHead{RequestID: string(h.Peek("Id")), ServerID: string(h.Peek("Server-Id"))}
 	if slowdown, err := strconv.ParseFloat(string(h.Peek("Slowness")), 64); err == nil {
 		head.LoadReport = &balance.LoadReport{Slowdown: slowdown}
 	}
