upstream: drop foreign answers without keeping their bodies

Seen by callers: nothing yet. An operator of a similar system reported a machine that ran out of memory because a faulty server sent bytes that were no answer; the requests of all its callers ended with it. Here a server whose answers name other requests made a VM keep up to 4 MiB of each one, at every request at once, and a head that states such a length was enough for it. A VM has 184 MB.

Cause: a foreign answer was read into memory before it was dropped. Besides, its trailers were not read: the own answer that follows a chunked foreign one with trailers failed as malformed, so that the outcome of a non-idempotent request was lost.

Change: the body is read as a stream into nothing. The bounds stay: four answers, 4 MiB each, the deadline of the attempt. A longer stated length ends the attempt at once, as before.

--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"net"
 	"os"
 	"strconv"
@@ -190,15 +191,28 @@
 	x.resp.Header.SetNoDefaultContentType(true)
 }
 
-// discardStaleResponse reads and drops a response to an earlier request.
+// discardStaleResponse reads and drops a response to an earlier request, without holding its body in memory.
 func (x *exchange) discardStaleResponse() error {
 	x.conn.noReuse = true
-	if x.resp.Header.ContentLength() == identityBody {
+	// Resetting the response also closes the body stream.
+	defer x.resetResponse()
+	switch length := x.resp.Header.ContentLength(); {
+	case length == identityBody:
 		return errors.New("the answer has no end")
+	case length > maxStaleBody:
+		return fasthttp.ErrBodyTooLarge
 	}
-	err := x.resp.ReadBody(x.conn.reader, maxStaleBody)
-	x.resetResponse()
-	return err
+	x.resp.StreamBody = true
+	if err := x.resp.ReadBody(x.conn.reader, 0); err != nil {
+		return err
+	}
+	switch _, err := io.CopyN(io.Discard, x.resp.BodyStream(), maxStaleBody+1); {
+	case err == nil:
+		return fasthttp.ErrBodyTooLarge
+	case !errors.Is(err, io.EOF):
+		return err
+	}
+	return nil
 }
 
 // readFinalHead reads response heads up to the first that is not an interim (1xx) one.
