gateway: bound the memory of all buffered responses together

Seen by callers: nothing yet. After the report of an operator (a faulty server sends without end, and the machine that keeps its bytes runs out of memory): each response of up to 1 MiB was buffered whole, however many there were, and stayed in memory until its caller had read it, up to 20 s. One server that floods its requests, or callers that do not read large responses, could take all 184 MB of a VM; the requests of every caller would have ended with it.

Cause: a bound for each response, none for all of them.

A buffer counts until its response is written or dropped. A response that finds none left is relayed while it is read, as those above 1 MiB are: it can no longer be replaced by the response of another server once it breaks off.

The spec "buffers responses after many were read, or left by their callers" fails if a buffer does not return to the budget (tried). The pieces that servers write in these specs and in the one of pkg/upstream are shared, since their own garbage counted before.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -17,10 +16,6 @@
 	"github.com/hornbeamway/hornbeamway/pkg/upstream"
 )
 
-// maxBufferedResponse is the largest response, in bytes, that is read to its end before it is relayed, so that an invalid or
-// incomplete one can be replaced by the response of another server.
-const maxBufferedResponse = 1 << 20
-
 // attempt is one attempt to send a request to a server. It runs concurrently with its call and, if the request is hedged, with
 // another attempt. It shares no mutable state with them, apart from the gateway and the body stream, which is nil for a buffered
 // body. A request with a body stream has only one attempt at a time, and the call reads the state of the stream only while no
@@ -72,7 +67,7 @@
 	var head ResponseHead
 	if err == nil {
 		head = g.Dialect.Response(&a.resp.Header)
-		err = bufferResponse(a.resp, a.deadline)
+		err = g.buffers.buffer(a.resp, a.deadline)
 	}
 	now := g.Clock.Now()
 	var r result
@@ -82,11 +77,14 @@
 		r = a.classifyResponse(head)
 	}
 	r.choice, r.resp, r.report = a.choice, a.resp, head.LoadReport
-	if stream, ok := a.resp.BodyStream().(*upstream.Body); ok && r.delivered {
+	switch stream, streamed := a.resp.BodyStream().(*upstream.Body); {
+	case !r.delivered:
+		a.releaseResponse()
+		cancel()
+	case streamed:
 		detach()
 		stream.OnClose(cancel)
-	} else {
-		a.releaseResponse()
+	default:
 		cancel()
 	}
 	if r.delivered {
@@ -149,15 +147,14 @@
 	a.gateway.availability.Record(a.choice.Server, s, "request "+a.id)
 }
 
-// releaseResponse gives back the connection of a response that is not relayed, if its body is still a stream.
+// releaseResponse gives back the memory, or the connection, of a response that is not relayed.
 func (a *attempt) releaseResponse() {
 	if err := a.resp.CloseBodyStream(); err != nil {
 		klog.InfoS("failed to close the body of a response", "id", a.id, "server", a.choice.Server.ID, "err", err)
 	}
 }
 
-// responseBodySize returns the size of the response body in bytes. For a stream, which must not be read here, it returns the
-// Content-Length, or 0 if that is not known.
+// responseBodySize returns the size of the response body in bytes, or 0 if it is not known yet. It does not read the body.
 func (a *attempt) responseBodySize() int {
 	if a.resp.IsBodyStream() {
 		return max(0, a.resp.Header.ContentLength())
@@ -178,33 +175,6 @@
 	return sendCtx, func() { stop() }, func() { stop(); cancelSend() }
 }
 
-// bufferResponse reads a response of up to maxBufferedResponse bytes into memory by the deadline. A larger one remains a stream
-// that ends at the deadline, so that a server which falls silent, or a caller who reads slowly, does not hold it for longer.
-func bufferResponse(resp *fasthttp.Response, deadline time.Time) error {
-	stream, ok := resp.BodyStream().(*upstream.Body)
-	if !ok {
-		return nil
-	}
-	stream.SetDeadline(deadline)
-	if resp.Header.ContentLength() > maxBufferedResponse {
-		return nil
-	}
-	body, err := io.ReadAll(io.LimitReader(stream, maxBufferedResponse+1))
-	switch {
-	case err != nil:
-		return &upstream.Error{Stage: upstream.StageRead, Written: true, Timeout: ingress.IsTimeout(err), Cause: err}
-	case len(body) > maxBufferedResponse:
-		stream.Unread(body)
-		return nil
-	}
-	// Closing the stream returns the connection to the pool.
-	if err := resp.CloseBodyStream(); err != nil {
-		return &upstream.Error{Stage: upstream.StageRead, Written: true, Cause: err}
-	}
-	resp.SetBodyRaw(body)
-	return nil
-}
-
 // classifyResponse returns the result for a response to this request. A success is relayed only if the server has
 // signed it.
 func (a *attempt) classifyResponse(head ResponseHead) result {
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -201,7 +201,7 @@
 func (c *call) writeResponse(r result) {
 	out := &c.ctx.Response
 	r.resp.Header.CopyTo(&out.Header)
-	if stream, ok := r.resp.BodyStream().(*upstream.Body); ok {
+	if stream := r.resp.BodyStream(); stream != nil {
 		out.SetBodyStream(stream, max(-1, r.resp.Header.ContentLength()))
 		return
 	}
--- a/pkg/gateway/endless_test.go
+++ b/pkg/gateway/endless_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"runtime"
 	"strings"
@@ -18,6 +19,7 @@
 		answeredHead   = "HTTP/1.1 200 OK\r\nId: view\r\nProof: p\r\n"
 		unansweredHead = "HTTP/1.1 200 OK\r\n"
 	)
+	answeredHeadOf := func(id string) string { return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nProof: p\r\n" }
 	// drip sends a prefix, and then one piece after the other until the connection is closed.
 	drip := func(prefix, piece string, interval time.Duration) func(*receivedRequest, net.Conn) bool {
 		return func(_ *receivedRequest, c net.Conn) bool {
@@ -91,6 +93,68 @@
 		Entry("in an answer to another request", "HTTP/1.1 200 OK\r\nId: other\r\nTransfer-Encoding: chunked\r\n\r\n", chunk),
 	)
 
+	// Guards against memory that grows with the number of responses that servers send and callers do not read.
+	DescribeTable("bounds its memory over many requests at once", func(head string, pieces int) {
+		const (
+			requests = 160
+			maxHeap  = 80 << 20
+			watched  = 1500 * time.Millisecond
+		)
+		piece := []byte(chunk) // shared, so that the servers allocate nothing
+		f := startGatewayWithSlots(requests, startBackend(func(r *receivedRequest, c net.Conn) bool {
+			_, err := io.WriteString(c, answeredHeadOf(r.Header.Get("Id"))+head)
+			for i := 0; i < pieces && err == nil; i++ {
+				_, err = c.Write(piece)
+			}
+			return err == nil
+		}))
+		runtime.GC()
+		for i := range requests {
+			f.dial().send("GET", "/upload/", fmt.Sprint(i), nil)
+		}
+		peak := uint64(0)
+		var stats runtime.MemStats
+		for started := time.Now(); time.Since(started) < watched; time.Sleep(dripInterval) {
+			runtime.ReadMemStats(&stats)
+			peak = max(peak, stats.HeapAlloc)
+		}
+		Expect(f.InFlight()).To(BeEquivalentTo(requests))
+		Expect(peak).To(BeNumerically("<", maxHeap))
+	},
+		Entry("with complete bodies", fmt.Sprintf("Content-Length: %d\r\n\r\n", 30*len(chunk)), 30),
+		Entry("with lengths whose bodies do not arrive", "Content-Length: 1000000\r\n\r\n", 0),
+		Entry("with chunks without end", "Transfer-Encoding: chunked\r\n\r\n", math.MaxInt),
+	)
+
+	// Guards against buffers that are never freed: once they used up the budget, a response that breaks off would reach the caller.
+	It("buffers responses after many were read, or left by their callers", func() {
+		const (
+			bodySize = 900_000
+			calls    = 24
+		)
+		body := strings.Repeat("b", bodySize)
+		first := startBackend(func(r *receivedRequest, c net.Conn) bool {
+			if r.Header.Get("Id") != "broken" {
+				return writeResponse(c, r, 200, body, "Proof: p")
+			}
+			_, _ = fmt.Fprintf(c, "%sContent-Length: %d\r\n\r\n%s", answeredHeadOf("broken"), bodySize, body[:bodySize/2])
+			return false
+		})
+		f := startGateway(first, startBackend(respondCorrectly))
+		for i := range calls {
+			Expect(f.roundTrip("GET", "/bulk/", fmt.Sprint("read-", i)).body).To(HaveLen(bodySize))
+			left := f.dial()
+			left.send("GET", "/bulk/", fmt.Sprint("left-", i), nil)
+			_, err := left.reader.ReadByte()
+			Expect(err).NotTo(HaveOccurred())
+			Expect(left.Close()).To(Succeed())
+		}
+		Eventually(f.InFlight).Should(BeZero())
+		sent := first.count()
+		Expect(f.roundTrip("GET", "/safe/", "broken").body).To(Equal("answer to broken"))
+		Expect(first.count()).To(Equal(sent + 1))
+	})
+
 	// Guards against an answer that is served although the request goes to a second server in time: a server that drips counts as
 	// one that has not answered.
 	It("serves an idempotent request from another server", func() {
--- a/pkg/gateway/fixture_test.go
+++ b/pkg/gateway/fixture_test.go
@@ -195,7 +195,10 @@
 var emptyGzip = []byte{31, 139, 8, 0, 0, 0, 0, 0, 0, 255, 1, 0, 0, 255, 255, 0, 0, 0, 0, 0, 0, 0, 0}
 
 // startGateway starts a gateway that chooses the backends in the given order. Without any backend it has no configuration.
-func startGateway(backends ...*backend) *fixture {
+func startGateway(backends ...*backend) *fixture { return startGatewayWithSlots(3, backends...) }
+
+// startGatewayWithSlots is startGateway with a number of slots, at least 3, of the first backend.
+func startGatewayWithSlots(slots int, backends ...*backend) *fixture {
 	b := balance.New(balance.Location{DataCentre: "d", Region: "r"}, 1)
 	f := &fixture{retries: retrybudget.New(0.2, 4), balancer: b}
 	f.state = directory.NewState(clock.System{}, fixedCodec{table(1)}, b.SetServers)
@@ -204,7 +207,7 @@
 	for i, target := range backends {
 		// The slots make the earlier ones cheaper: the first counts as idle, the others as highly utilized.
 		snap.Servers = append(snap.Servers, directory.Server{ID: fmt.Sprint("s", i), Service: "s", Address: target.address,
-			DataCentre: []string{"d", "e"}[min(i, 1)], Region: "r", Slots: 3 - min(i, 2)})
+			DataCentre: []string{"d", "e"}[min(i, 1)], Region: "r", Slots: slots - min(i, 2)})
 	}
 	if len(backends) > 0 {
 		f.state.ApplySnapshot(snap, "test")
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -69,8 +69,10 @@
 	server    *fasthttp.Server
 	listener  atomic.Pointer[ingress.Listener]
 	estimates *routeEstimates
-	draining  atomic.Bool
-	refusing  atomic.Bool
+	// buffers limits the memory of the responses that are buffered.
+	buffers  bufferBudget
+	draining atomic.Bool
+	refusing atomic.Bool
 	// lastDeadline is the latest deadline of a request that is still sent to a server; nil: no limit.
 	lastDeadline atomic.Pointer[time.Time]
 	inFlight     atomic.Int64
@@ -83,7 +85,8 @@
 func New(o Options) *Gateway {
 	g := &Gateway{Options: o,
 		availability: availability.Recorder{Clock: o.Clock, Balancer: o.Balancer, Servers: o.Servers, Publish: o.Publish},
-		watcher:      ingress.NewDisconnectWatcher(), estimates: newRouteEstimates(), startedAt: o.Clock.Now()}
+		watcher:      ingress.NewDisconnectWatcher(), estimates: newRouteEstimates(), startedAt: o.Clock.Now(),
+		buffers: bufferBudget{limit: maxBufferedResponses}}
 	g.server = &fasthttp.Server{
 		Handler:                      g.handle,
 		NoDefaultServerHeader:        true,
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -111,7 +111,7 @@
 	go func() {
 		for range running {
 			if r := <-results; r.delivered {
-				// Closing the body of a response that nobody reads only closes its connection.
+				// Closing the body of a response that nobody reads only closes its connection or frees its memory.
 				_ = r.resp.CloseBodyStream()
 			}
 		}
--- a/pkg/upstream/foreign_test.go
+++ b/pkg/upstream/foreign_test.go
@@ -38,8 +38,9 @@
 				_, _ = io.WriteString(c, head)
 				return true
 			}
+			data := []byte(piece)
 			for _, err := io.WriteString(c, head); err == nil; {
-				_, err = io.WriteString(c, piece)
+				_, err = c.Write(data)
 			}
 			return false
 		})
