gateway: send no order to a second server that may outlast the exit

Seen by callers: an order that a stopping VM had accepted, and that its first server refused as not run, could go to a second server late in the shutdown timeout and be cut off at the exit. Its caller could not know whether it had run, although "not run" was true before the second attempt.

Cause: the deadline was compared with the exit for the first server only.

Change: an order, which may not be repeated, is checked before each server. It is then refused as not run. Idempotent requests are still sent again.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -175,8 +175,8 @@
 // Drain makes Ready return false and closes each connection after its next response. Requests are still served.
 func (g *Gateway) Drain() { g.draining.Store(true) }
 
-// RefuseDeadlinesAfter makes the gateway refuse, as not run, every request that has not been sent to a server and whose deadline is
-// later than t, because it may not finish before the process exits.
+// RefuseDeadlinesAfter makes the gateway refuse, as not run, every request whose deadline is later than t, because it may not finish
+// before the process exits. Requests that a server may be running, and idempotent ones that were sent before, are not affected.
 func (g *Gateway) RefuseDeadlinesAfter(t time.Time) { g.lastDeadline.Store(&t) }
 
 // Refuse makes the gateway refuse every further request as not run, and closes the connections that are idle.
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -69,6 +69,23 @@
 		Expect(c.receive().StatusCode).To(Equal(200))
 	})
 
+	// Guards against an order that was accepted before the limit, and is sent to a second server although it may not finish before
+	// the exit: cut off there, its outcome would be unknown, while the first server had not run it.
+	DescribeTable("sends to another server after the limit", func(method, path string, status, sent int) {
+		var f *fixture
+		first := startBackend(func(r *receivedRequest, c net.Conn) bool {
+			f.RefuseDeadlinesAfter(time.Now().Add(routeTimeout / 2))
+			return writeResponse(c, r, 503, "", "Not-Run: 1")
+		})
+		second := startBackend(respondCorrectly)
+		f = startGateway(first, second)
+		Expect(f.roundTrip(method, path, "request").StatusCode).To(Equal(status))
+		Expect(second.count()).To(Equal(sent))
+	},
+		Entry("no order", "POST", "/once/", 503, 0),
+		Entry("an idempotent request", "GET", "/safe/", 200, 1),
+	)
+
 	// Guards against a second copy of an earlier refusal, such as that of a health check, which names no request: taken for the
 	// refusal of the order that the server runs, it had the order sent to a second server, or refused as not run.
 	DescribeTable("does not believe a refusal that does not name the request", func(refusal string) {
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -146,8 +146,7 @@
 	if left < minTimeLeft {
 		return balance.Choice{}, notRun(problem.ReasonDeadline, "no time left to send the request", 0)
 	}
-	// Checked here and not on arrival, because a request may be received slowly or wait for a server.
-	if last := g.lastDeadline.Load(); last != nil && c.deadline.After(*last) && len(c.sentTo) == 0 {
+	if g.mayOutlastExit(c) {
 		return balance.Choice{}, notRun(problem.ReasonNotReady, "this VM exits before the deadline of the request", minRetryAfter)
 	}
 	limits := newAdmission(g.estimates.work(c.route), c.route.Objective, c.priorWait, left)
@@ -175,6 +174,14 @@
 		min(limits.retryAfter, left/4))
 }
 
+// mayOutlastExit reports whether a request must not be sent because it may not finish before the process exits. It is checked for each
+// server and not on arrival, because a request may be received slowly or wait for a server. An idempotent request that was sent before
+// is still sent again, because its caller can repeat it.
+func (g *Gateway) mayOutlastExit(c *call) bool {
+	last := g.lastDeadline.Load()
+	return last != nil && c.deadline.After(*last) && (len(c.sentTo) == 0 || !c.route.Idempotent)
+}
+
 // notReady returns the refusal of a request while this VM starts or stops.
 func (g *Gateway) notReady() *problem.Problem {
 	retryAfter := minRetryAfter
