ingress: count a connection as open until it has been drained

Seen by callers: a refused request whose body was still arriving could end with a reset instead of its refusal when the VM stopped. The connection is drained for up to 0.5 s after the refusal, so that closing it does not reset it, but it no longer counted: a stopping VM without other requests exited at once, and the kernel reset the connection with its unread bytes.

Cause: Close took the connection off the listener's count before it drained it.

Change: the connection is counted, and its request as in flight, until the drain has ended.

--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -69,6 +69,21 @@
 		Expect(c.receive().StatusCode).To(Equal(200))
 	})
 
+	// Guards against a VM that exits while a caller is still sending a request which was refused: its connection would be reset, and
+	// the refusal lost.
+	It("counts a refused request as in flight until its caller has read the refusal", func() {
+		f := startGateway(startBackend(respondCorrectly))
+		f.Refuse()
+		c := f.dial()
+		_, err := fmt.Fprintf(c, "POST /upload/ HTTP/1.1\r\nHost: h\r\nId: upload\r\nContent-Length: 1000000\r\n\r\n%s",
+			strings.Repeat("x", 16<<10))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(c.receive().StatusCode).To(Equal(503))
+		Consistently(f.InFlight, "200ms").Should(BeEquivalentTo(1))
+		Expect(c.Close()).To(Succeed())
+		Eventually(f.InFlight, "2s").Should(BeZero())
+	})
+
 	// Guards against an order that was accepted before the limit, and is sent to a second server although it may not finish before
 	// the exit: cut off there, its outcome would be unknown, while the first server had not run it.
 	DescribeTable("sends to another server after the limit", func(method, path string, status, sent int) {
--- a/pkg/ingress/conn.go
+++ b/pkg/ingress/conn.go
@@ -161,13 +161,13 @@
 	return c.Conn.Write(p)
 }
 
-// Close implements net.Conn. It drains the connection first if SetLinger was called.
+// Close implements net.Conn. It drains the connection first if SetLinger was called. Until then the connection counts as open.
 func (c *Conn) Close() error {
 	c.closeOnce.Do(func() {
-		c.listener.release(c)
 		if c.lingerOnClose {
 			c.drain()
 		}
+		c.listener.release(c)
 	})
 	return c.Conn.Close()
 }
