prober: use a connection again after a short response in chunks

Seen by backend servers: each probe of a server that states no length for its health check opened a new connection, which counts against its connection limit and costs more than the probe.

Cause: a response without a length is a stream, which the prober did not read; the connection of an unread stream is closed.

Change: up to 16 KiB of a streamed body are read by the deadline of the probe. A longer one still ends with its connection.

--- a/pkg/prober/prober.go
+++ b/pkg/prober/prober.go
@@ -4,10 +4,12 @@
 
 import (
 	"context"
+	"io"
 	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 	"k8s.io/klog/v2"
 
@@ -32,6 +34,8 @@
 	failurePause = time.Second
 	// maxProbes limits the number of probes that this VM has in flight.
 	maxProbes = 64
+	// maxProbeBody is the size in bytes up to which the body of a response is read.
+	maxProbeBody = 16 << 10
 )
 
 var (
@@ -188,8 +192,12 @@
 	req.Header.SetHost(s.Address)
 	req.Header.SetRequestURI(path)
 	probes.Inc()
-	err := p.Transport.RoundTrip(ctx, upstream.Attempt{Address: s.Address, Idempotent: true, Classify: p.classify,
-		Deadline: p.Clock.Now().Add(probeTimeout)}, req, resp)
+	deadline := p.Clock.Now().Add(probeTimeout)
+	err := p.Transport.RoundTrip(ctx, upstream.Attempt{Address: s.Address, Idempotent: true, Classify: p.classify, Deadline: deadline},
+		req, resp)
+	if err == nil {
+		err = finishBody(resp, deadline)
+	}
 	now := p.Clock.Now()
 	if err != nil {
 		probeFailures.Inc()
@@ -222,6 +230,21 @@
 	return upstream.Accepted
 }
 
+// finishBody reads a streamed body of up to maxProbeBody bytes to its end, so that its connection can be used again. A longer one
+// ends with its connection.
+func finishBody(resp *fasthttp.Response, deadline time.Time) error {
+	body, streamed := resp.BodyStream().(*upstream.Body)
+	if !streamed {
+		return nil
+	}
+	body.SetDeadline(deadline)
+	_, err := io.CopyN(io.Discard, body, maxProbeBody)
+	if errors.Is(err, io.EOF) {
+		err = nil
+	}
+	return errors.CombineErrors(err, resp.CloseBodyStream())
+}
+
 func (p *Prober) pauseUntil(key balance.ServerKey, until time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/pkg/prober/prober_test.go
+++ b/pkg/prober/prober_test.go
@@ -55,37 +55,54 @@
 
 var _ = Describe("Prober", func() {
 	var (
-		probes   atomic.Int64
-		balancer *balance.Balancer
-		state    *directory.State
-		server   *directory.Server
-		shared   chan loadshare.Event
-		leaving  bool
+		probes atomic.Int64
+		// connections counts the connections of the prober to the server, and open those that are open.
+		connections, open atomic.Int64
+		// writeBody writes the body of a response; nil: it is empty.
+		writeBody func(w http.ResponseWriter)
+		balancer  *balance.Balancer
+		state     *directory.State
+		server    *directory.Server
+		shared    chan loadshare.Event
+		leaving   bool
 		// copiedRefusal is written to the connection before the response to each probe.
 		copiedRefusal string
 	)
-	BeforeEach(func() { leaving, copiedRefusal = false, "" })
+	BeforeEach(func() { writeBody, leaving, copiedRefusal = nil, false, "" })
 	urgentRequest := balance.Request{Service: "s", Work: 300 * time.Millisecond, Objective: 800 * time.Millisecond}
 
 	startProber := func(id string, assigned bool) {
 		probes.Store(0)
+		connections.Store(0)
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
+		body, isLeaving, refusal := writeBody, leaving, copiedRefusal
 		httpServer := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			Expect(r.URL.Path).To(Equal("/health"))
 			probes.Add(1)
 			w.Header().Set("Server-Id", id)
 			w.Header().Set("Slowness", "5")
-			if leaving {
+			if isLeaving {
 				w.Header().Set("Leaving", "1")
 			}
-			if copiedRefusal != "" {
+			if refusal != "" {
 				c, _, err := http.NewResponseController(w).Hijack()
 				Expect(err).NotTo(HaveOccurred())
-				_, _ = io.WriteString(c, copiedRefusal+
+				_, _ = io.WriteString(c, refusal+
 					"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nServer-Id: "+id+"\r\nSlowness: 5\r\n\r\n")
 			}
-		})}
+			if body != nil {
+				body(w)
+			}
+		}), ConnState: func(_ net.Conn, s http.ConnState) {
+			switch s {
+			case http.StateNew:
+				connections.Add(1)
+				open.Add(1)
+			case http.StateClosed:
+				open.Add(-1)
+			}
+		}}
 		go func() { _ = httpServer.Serve(l) }()
 		DeferCleanup(httpServer.Close)
 		balancer = balance.New(balance.Location{DataCentre: "d", Region: "r"}, 1)
@@ -94,11 +111,13 @@
 		emptyGzip := []byte{31, 139, 8, 0, 0, 0, 0, 0, 0, 255, 1, 0, 0, 255, 255, 0, 0, 0, 0, 0, 0, 0, 0}
 		state.ApplySnapshot(directory.Snapshot{Digest: directory.Digest{ConfigVersion: 1, ServersRevision: 1}, ConfigKey: "config",
 			ConfigRecord: emptyGzip, Servers: []directory.Server{*server}}, "test")
-		shared = make(chan loadshare.Event, 64)
+		// A probe may still end during the next spec, which must not share its variables.
+		events := make(chan loadshare.Event, 64)
+		shared = events
 		p := prober.New(prober.Options{Clock: clock.System{}, Responses: plainHeaders{}, State: state, Balancer: balancer,
 			Transport:  upstream.NewTransport(upstream.Options{}),
 			Assignment: func() func(*directory.Server) bool { return func(*directory.Server) bool { return assigned } },
-			Publish:    func(e loadshare.Event) { shared <- e }})
+			Publish:    func(e loadshare.Event) { events <- e }})
 		ctx, cancel := context.WithCancel(context.Background())
 		DeferCleanup(cancel)
 		go p.Run(ctx)
@@ -127,6 +146,33 @@
 		Expect(probes.Load() - before).To(BeNumerically("<=", 1))
 	})
 
+	// Guards against connections and memory that each probe of a faulty server would hold.
+	It("closes the connection of a response without end", func() {
+		writeBody = func(w http.ResponseWriter) {
+			for piece := make([]byte, 32<<10); ; {
+				if _, err := w.Write(piece); err != nil {
+					return
+				}
+			}
+		}
+		startProber("a", true)
+		balancer.Pick(urgentRequest, time.Now())
+		Eventually(connections.Load, "2s").Should(BeNumerically(">", 2))
+		Eventually(open.Load, "300ms", "1ms").Should(BeZero())
+	})
+
+	// Guards against a new connection for each probe of a server that states no length.
+	It("uses its connection again after a short response in chunks", func() {
+		writeBody = func(w http.ResponseWriter) {
+			_, _ = w.Write([]byte("healthy"))
+			w.(http.Flusher).Flush()
+		}
+		startProber("a", true)
+		balancer.Pick(urgentRequest, time.Now())
+		Eventually(probes.Load, "2s").Should(BeNumerically(">", 3))
+		Expect(connections.Load()).To(BeEquivalentTo(1))
+	})
+
 	// Guards against applying the load report of another server that has taken over the address.
 	It("ignores the load report of another server, and probes again only after a pause", func() {
 		startProber("b", true)
