upstream: skip no body behind a foreign response that has none

Found by the review: a late copy of a 304 states a length and has no body; skipping one took the beginning of the response that follows, so that a request that had run was answered 502. Responses with 204 or 304 are now skipped without a body, and a connection that has carried a HEAD request, whose response may come again, is not kept.

--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -197,6 +197,8 @@
 	// Resetting the response also closes the body stream.
 	defer x.resetResponse()
 	switch length := x.resp.Header.ContentLength(); {
+	case statusWithoutBody(x.resp.StatusCode()):
+		return nil
 	case length == identityBody:
 		return errors.New("the answer has no end")
 	case length > maxStaleBody:
@@ -248,8 +250,12 @@
 }
 
 func (x *exchange) hasNoBody() bool {
-	status := x.resp.StatusCode()
-	return x.resp.SkipBody || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified
+	return x.resp.SkipBody || statusWithoutBody(x.resp.StatusCode())
+}
+
+// statusWithoutBody reports whether responses with a status have no body, whatever length they state.
+func statusWithoutBody(status int) bool {
+	return status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified
 }
 
 // maxKeepAlive bounds the stated keep-alive time; a larger number could overflow a duration.
@@ -267,7 +273,8 @@
 
 // releaseConn returns the connection to the idle connections, or closes it if it cannot be reused after this response.
 func (x *exchange) releaseConn() {
-	if x.conn.noReuse || x.resp.Header.ConnectionClose() || x.resp.Header.ContentLength() == identityBody {
+	// A late copy of the response to a HEAD request has a length and no body: the next response could not be found behind it.
+	if x.conn.noReuse || x.req.Header.IsHead() || x.resp.Header.ConnectionClose() || x.resp.Header.ContentLength() == identityBody {
 		x.conn.host.discard(x.conn)
 		return
 	}
--- a/pkg/upstream/foreign_test.go
+++ b/pkg/upstream/foreign_test.go
@@ -30,7 +30,12 @@
 		runtime.GC()
 		runtime.GC()
 	})
-	namesRequest := func(h *fasthttp.ResponseHeader) bool { return string(h.Peek("Id")) == "own" }
+	classify := func(h *fasthttp.ResponseHeader) upstream.Verdict {
+		if string(h.Peek("Id")) != "own" {
+			return upstream.Foreign
+		}
+		return upstream.Accepted
+	}
 	// floodingServer writes a head and then pieces of a body until the connection is closed. Without a piece it only waits.
 	floodingServer := func(head, piece string) *scriptedServer {
 		return serve(func(_ int, _ string, c net.Conn) bool {
@@ -47,7 +52,7 @@
 	}
 	get := func(t *upstream.Transport, s *scriptedServer, resp *fasthttp.Response, timeout time.Duration) error {
 		return t.RoundTrip(context.Background(), upstream.Attempt{Address: s.address, Idempotent: true,
-			Deadline: time.Now().Add(timeout), AcceptResponse: namesRequest}, request("GET", "/"), resp)
+			Deadline: time.Now().Add(timeout), Classify: classify}, request("GET", "/"), resp)
 	}
 
 	// Guards against memory that grows with the number of requests to a server whose answers belong to none of them.
--- a/pkg/upstream/upstream_test.go
+++ b/pkg/upstream/upstream_test.go
@@ -229,13 +229,29 @@
 	})
 
 	// Guards against surplus bytes after a response that would be read as the response to the next request.
-	It("closes a connection with surplus bytes after the response", func() {
-		s := serve(func(_ int, _ string, c net.Conn) bool { return writeResponse(c, "ok") && writeResponse(c, "extra") })
+	DescribeTable("closes a connection with surplus bytes after the response", func(respond func(c net.Conn, surplus chan<- struct{})) {
+		surplus := make(chan struct{}, 2)
+		s := serve(func(_ int, _ string, c net.Conn) bool {
+			respond(c, surplus)
+			return true
+		})
 		Expect(get(s)).To(Succeed())
+		Eventually(surplus).Should(Receive())
 		Expect(get(s)).To(Succeed())
 		Expect(string(resp.Body())).To(Equal("ok"))
 		Expect(s.connections.Load()).To(BeEquivalentTo(2))
-	})
+	},
+		Entry("that arrive with it", func(c net.Conn, surplus chan<- struct{}) {
+			const once = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+			_, _ = io.WriteString(c, once+once)
+			surplus <- struct{}{}
+		}),
+		Entry("that arrive after it", func(c net.Conn, surplus chan<- struct{}) {
+			writeResponse(c, "ok")
+			writeResponse(c, "extra")
+			surplus <- struct{}{}
+		}),
+	)
 
 	// Guards against a request that is sent while the server closes the connection because its short keep-alive time has passed.
 	It("uses an idle connection only within the keep-alive time that the server states", func() {
