--- a/internal/lab/soak/serverfaults.go
+++ b/internal/lab/soak/serverfaults.go
@@ -8,8 +8,8 @@
 	"github.com/hornbeamway/hornbeamway/internal/standin/platformserver"
 )
 
-// duplicateRefusals makes a server refuse requests at random, late, and often twice. A retry may then know a newer record of the
-// server's address, and the copy may arrive when the request has returned there.
+// duplicateRefusals makes a server refuse requests at random, late, and often twice. The copy arrives while a later request is on the
+// connection.
 var duplicateRefusals = platformserver.Faults{Refuse: 0.5, DuplicateRefusal: 0.8, RefusalDelay: 300 * time.Millisecond}
 
 // reuseAddress replaces a server and starts one, usually of another service, on the address that it had. For some seconds the new
--- a/pkg/entryvm/entryvm_test.go
+++ b/pkg/entryvm/entryvm_test.go
@@ -144,6 +144,21 @@
 		})
 	})
 
+	// Guards against work that is cut off when a server exits, whose record in the store says that it is ready because the store
+	// cannot be reached.
+	It("sends nothing more to a server that states that it is leaving while the store is down", func() {
+		publishConfiguration()
+		Eventually(readiness, "5s").Should(Equal(http.StatusOK))
+		Expect(store.SetFaults(logservice.Faults{Down: true})).To(Succeed())
+		server.Leave()
+		for i, want := range []int{http.StatusOK, http.StatusServiceUnavailable, http.StatusServiceUnavailable} {
+			_, reader := sendOrder(fmt.Sprint("order-", i))
+			status, _, _ := readResponse(reader)
+			Expect(status).To(Equal(want))
+		}
+		Expect(ran.Load()).To(BeEquivalentTo(1))
+	})
+
 	// Guards against a VM that reports ready before it has a configuration and servers, so that the platform sends it
 	// callers too early, and against refusals that do not state when to retry.
 	It("is ready once it has read the configuration and the servers, and then serves requests", func() {
