entryvm: a spec of orders at any time of a stop

Cause: an operator of a similar system reported requests that were passed on late in the shutdown timeout and cut off at its end. The existing specs send one order at one moment.

Change: 240 callers hold open connections and each sends an order at a random moment of a stop of 8 s, with random work and wait of up to 5 s, some with a late body; servers refuse three in ten as not run, so that these go to a second one; SIGHUP arrives midway. An order that ran and is not answered before Run returns must have been sent in the first 3 s and still run in the last sixth.

It does not see the retry of an order late in the stop; the spec of pkg/gateway does.

--- a/pkg/entryvm/entryvm_test.go
+++ b/pkg/entryvm/entryvm_test.go
@@ -6,9 +6,11 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -311,6 +313,75 @@
 		Eventually(stopped, settings.ShutdownTimeout).Should(BeClosed())
 	})
 
+	// Guards against an order that ran, or that was read, and gets no answer because the VM stops: at any time of the stop, with any work,
+	// body and time limit, also if its first server has refused it or the settings are reloaded. Only an order that was sent before the platform has detected
+	// the failing health checks, and still runs at the exit, may be cut off.
+	It("answers the orders on open connections at any time of a stop", func() {
+		const (
+			orders   = 240
+			exit     = 8 * time.Second
+			longest  = 5 * time.Second // of an order's work and wait
+			detected = 3 * time.Second
+			slack    = 300 * time.Millisecond
+		)
+		settings.ShutdownTimeout = exit
+		servers := &orderServer{refusedShare: 0.3, startedAt: map[string]time.Time{}}
+		for i := range 6 {
+			store.Put("keyed.servers", fmt.Sprint("i-", i+2), fmt.Appendf(nil, `{"service":"orders","address":"%s","zone":"d","version":"v1",
+				"slots":60,"state":"ready","warmup_left_ms":0,"seq":1,"born":1}`, servers.start()))
+		}
+		time.Sleep(readInterval)
+		store.Put("keyed.op", "config", []byte(strings.NewReplacer(`"max_attempts":1`, `"max_attempts":2`,
+			`"timeout_ms":3000`, fmt.Sprintf(`"timeout_ms":%d`, longest.Milliseconds())).Replace(configuration)))
+		Eventually(readiness, "5s").Should(Equal(http.StatusOK))
+		var (
+			callers sync.WaitGroup
+			sent    []*order
+			begin   = make(chan struct{})
+		)
+		for i := range orders {
+			conn, err := net.Dial("tcp", settings.Callers)
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(conn.Close)
+			o := &order{id: fmt.Sprint("order-", i), work: rand.N(longest), wait: rand.N(longest)}
+			if i%4 == 0 {
+				o.bodyDelay = rand.N(time.Second)
+			}
+			sent = append(sent, o)
+			callers.Go(func() {
+				<-begin
+				time.Sleep(rand.N(exit))
+				o.send(conn)
+			})
+		}
+		stoppedAt := time.Now()
+		stop()
+		close(begin)
+		time.Sleep(exit / 2)
+		Expect(syscall.Kill(syscall.Getpid(), syscall.SIGHUP)).To(Succeed())
+		<-stopped
+		exitedAt := time.Now()
+		Expect(reloads.Load()).To(BeEquivalentTo(1))
+		callers.Wait()
+		answered := 0
+		for _, o := range sent {
+			sentAfter, endedAfter := o.sentAt.Sub(stoppedAt), o.endsAt.Sub(stoppedAt)
+			description := fmt.Sprintf("%+v sent after %s, ended after %s, ran %t", *o, sentAfter, endedAfter, servers.ran(o.id))
+			switch {
+			case o.status != 0 && !o.endsAt.After(exitedAt): // in a process of its own, the VM could not have answered later
+				answered++
+				Expect(o.status != http.StatusServiceUnavailable || !servers.ran(o.id)).To(BeTrue(), description)
+			case servers.ran(o.id):
+				Expect(sentAfter).To(BeNumerically("<", detected), description)
+				Expect(min(endedAfter, exitedAt.Sub(stoppedAt))).To(BeNumerically(">", exit*5/6), description)
+			default:
+				Expect(endedAfter-sentAfter-o.bodyDelay).To(BeNumerically("<", slack), description)
+			}
+		}
+		GinkgoWriter.Printf("%d of %d orders answered, %d ran\n", answered, orders, len(servers.startedAt))
+		Expect(len(servers.startedAt)).To(BeNumerically(">", orders/6))
+	})
+
 	// Guards against VMs that refuse each other's snapshots because they reach the store at different addresses: a VM that started
 	// while the store was away then served nothing until its return.
 	It("starts from the state of another VM while it cannot reach the store", func() {
