--- a/pkg/entryvm/settings.go
+++ b/pkg/entryvm/settings.go
@@ -31,6 +31,8 @@
 	Regions map[string]string
 	// Capacity is the relative amount of work that this VM can handle compared with other VMs. Zero: unknown.
 	Capacity int
+	// MemoryLimit is the memory in bytes above which the process is killed. Zero: unknown.
+	MemoryLimit int64
 	// ShutdownTimeout is the longest time from the stop signal to the end of the process. Default 6s.
 	ShutdownTimeout time.Duration
 	// RetryBudgetRatio and RetryBudgetSlack limit the retries of all entry VMs together to a service: to a share of its
@@ -48,9 +50,9 @@
 	if s.VM == "" || s.DataCentre == "" || s.Region == "" {
 		return errors.Wrapf(ErrInvalid, "VM name %q, data centre %q and region %q must not be empty", s.VM, s.DataCentre, s.Region)
 	}
-	if s.ShutdownTimeout < 0 || s.RetryBudgetRatio < 0 || s.RetryBudgetSlack < 0 {
-		return errors.Wrapf(ErrInvalid, "shutdown timeout %v, retry budget ratio %v and slack %v must not be negative",
-			s.ShutdownTimeout, s.RetryBudgetRatio, s.RetryBudgetSlack)
+	if s.ShutdownTimeout < 0 || s.RetryBudgetRatio < 0 || s.RetryBudgetSlack < 0 || s.MemoryLimit < 0 {
+		return errors.Wrapf(ErrInvalid, "shutdown timeout %v, retry budget ratio %v and slack %v, and memory limit %d must not be negative",
+			s.ShutdownTimeout, s.RetryBudgetRatio, s.RetryBudgetSlack, s.MemoryLimit)
 	}
 	for name, address := range map[string]string{"callers": s.Callers, "health": s.Health, "peer": s.Peer, "store": s.Store} {
 		if _, err := netip.ParseAddrPort(address); err != nil {
--- a/pkg/entryvm/settings_test.go
+++ b/pkg/entryvm/settings_test.go
@@ -35,6 +35,7 @@
 		Entry("without a region", func(s *entryvm.Settings) { s.Region = "" }),
 		Entry("with an address without an IP", func(s *entryvm.Settings) { s.Callers = "shop.example:80" }),
 		Entry("with a negative shutdown timeout", func(s *entryvm.Settings) { s.ShutdownTimeout = -1 }),
+		Entry("with a negative memory limit", func(s *entryvm.Settings) { s.MemoryLimit = -1 }),
 		Entry("with a negative retry budget", func(s *entryvm.Settings) { s.RetryBudgetSlack = -1 }),
 	)
 })
--- a/pkg/entryvm/vm.go
+++ b/pkg/entryvm/vm.go
@@ -5,6 +5,7 @@
 	"net"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"strconv"
 	"strings"
 	"syscall"
@@ -105,6 +106,10 @@
 	objectivesVersion int64
 }
 
+// heapShare is the share of the memory limit of the process from which on the garbage collector runs more often. The rest is for
+// thread stacks and for bytes that the kernel has received and that count as the memory of the process.
+const heapShare = 0.8
+
 // Run serves as an entry VM until ctx ends and then shuts down: health checks fail at once, requests are served until the
 // platform stops sending them, and in-flight requests finish. It then returns nil. Errors: ErrListen and those of the
 // listeners.
@@ -117,6 +122,9 @@
 	if err != nil {
 		return err
 	}
+	if s.MemoryLimit > 0 {
+		debug.SetMemoryLimit(int64(heapShare * float64(s.MemoryLimit)))
+	}
 	v, err := newVM(s, p, l)
 	if err != nil {
 		return err
