--- a/pkg/gateway/leaving_test.go
+++ b/pkg/gateway/leaving_test.go
@@ -148,14 +148,20 @@
 		}, "2s").Should(Equal(2))
 	})
 
-	// Guards against a request that is sent although its server, while the connection was opened, has asked for no requests.
-	It("sends no request that was chosen before and has not been written", func() {
+	// Guards against a request that is sent although its server, while the connection was opened, has asked for no requests, and against
+	// one that is then refused although another server could run it: an attempt that was not written has not used up one of the servers
+	// that the route allows.
+	DescribeTable("sends a request that was chosen before and has not been written to another server", func(path string) {
 		first, second := startBackend(respondCorrectly), startBackend(respondCorrectly)
 		f := startGateway(first, second)
 		f.Dialect = holdBeforeWrite{f: f, server: f.state.View().Servers["s0"]}
-		Expect(f.roundTrip("POST", "/once/", "order").StatusCode).To(Equal(200))
+		Expect(f.roundTrip("POST", path, "request").StatusCode).To(Equal(200))
 		Expect(first.count()).To(BeZero())
-	})
+		Expect(second.count()).To(Equal(1))
+	},
+		Entry("on a route with two attempts", "/once/"),
+		Entry("on a route with one attempt", "/bulk/"),
+	)
 
 	// Guards against callers that are told to stay away for the hold of one server, although the other is only full for a moment.
 	It("does not name the hold of one server to a caller whose request another one has refused", func() {
@@ -171,17 +177,6 @@
 		Expect(seconds).To(BeNumerically("<=", objective.Seconds()))
 	})
 
-	// Guards against a request that is refused although another server could run it: an attempt that was not written has not used
-	// up one of the servers that the route allows.
-	It("sends a request of a route with one attempt to another server if it has not been written", func() {
-		first, second := startBackend(respondCorrectly), startBackend(respondCorrectly)
-		f := startGateway(first, second)
-		f.Dialect = holdBeforeWrite{f: f, server: f.state.View().Servers["s0"]}
-		Expect(f.roundTrip("GET", "/bulk/", "download").StatusCode).To(Equal(200))
-		Expect(first.count()).To(BeZero())
-		Expect(second.count()).To(Equal(1))
-	})
-
 	// Guards against callers that come back before there is a server for them: the refusal used to name a tenth of the objective.
 	It("refuses at once, with a Retry-After that is true, when all servers are so", func() {
 		f := startGateway(startBackend(respondHoldingOff))
