--- /dev/null
+++ b/pkg/directory/servers.go
@@ -0,0 +1,111 @@
+package directory
+
+import (
+	"time"
+
+	"k8s.io/klog/v2"
+)
+
+// applyServers applies records of the topic Servers. complete means that they are all that the store holds.
+func (s *State) applyServers(b Batch, complete bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock.Now()
+	changed := false
+	present := map[string]bool{}
+	for _, record := range b.Records {
+		present[record.Key] = true
+		if s.applyServerLocked(record, now) {
+			changed = true
+			s.digest.ServersRevision = max(s.digest.ServersRevision, record.Offset+1)
+			s.history.record(record.Key, s.servers[record.Key] == nil, record.Offset+1)
+		}
+	}
+	if complete {
+		for id := range s.servers {
+			if !present[id] && s.removeServerLocked(id, now) {
+				changed = true
+			}
+		}
+		s.digest.ServersRevision = max(s.digest.ServersRevision, b.Next)
+		s.history = newHistory(s.digest.ServersRevision)
+	}
+	s.digest.ServersNext = max(s.digest.ServersNext, b.Next)
+	if s.removeLapsedLocked(now) || changed {
+		s.publishViewLocked()
+	}
+}
+
+// applyServerLocked applies the record of one server and reports whether it changed the state.
+func (s *State) applyServerLocked(record Record, now time.Time) bool {
+	if len(record.Value) == 0 {
+		return s.removeServerLocked(record.Key, now)
+	}
+	server, err := s.codec.DecodeServer(record.Key, record.Value)
+	if err != nil {
+		klog.InfoS("ignored an invalid server record", "server", record.Key, "offset", record.Offset, "err", err)
+		return false
+	}
+	old, exists := s.servers[record.Key]
+	if exists && !server.supersedes(old) {
+		klog.InfoS("ignored an outdated server record", "server", record.Key, "offset", record.Offset,
+			"reason", "older than the one known")
+		return false
+	}
+	_, wasLapsed := s.lapsed[record.Key]
+	delete(s.lapsed, record.Key)
+	server.WarmUntil = now.Add(time.Duration(server.WarmUpMillis) * time.Millisecond)
+	if exists && server.equivalentTo(old) {
+		old.Sequence = server.Sequence
+		return wasLapsed
+	}
+	s.servers[record.Key] = &server
+	klog.InfoS("added or updated a server", "server", server.ID, "service", server.Service, "address", server.Address,
+		"leaving", server.Leaving, "incarnation", server.Incarnation, "offset", record.Offset)
+	return true
+}
+
+// removeServerLocked removes a server and reports whether that changed the state. During the grace period after an outage of
+// the store the record may merely have lapsed, so that the server is kept until the end of that period.
+func (s *State) removeServerLocked(id string, now time.Time) bool {
+	server, exists := s.servers[id]
+	if !exists {
+		return false
+	}
+	if _, isLapsed := s.lapsed[id]; isLapsed {
+		return false
+	}
+	if now.Before(s.graceUntil) && !server.Leaving {
+		s.lapsed[id] = s.graceUntil
+		klog.InfoS("server record lapsed during the store's outage; keeping the server for the grace period", "server", id,
+			"keptFor", s.graceUntil.Sub(now))
+		return true
+	}
+	delete(s.servers, id)
+	klog.InfoS("removed a server", "server", id, "service", server.Service, "reason", "entry removed")
+	return true
+}
+
+// removeLapsedLocked removes the servers whose lapsed records were not published again within the grace period.
+func (s *State) removeLapsedLocked(now time.Time) bool {
+	removed := false
+	for id, until := range s.lapsed {
+		if now.Before(until) {
+			continue
+		}
+		delete(s.lapsed, id)
+		delete(s.servers, id)
+		removed = true
+		klog.InfoS("removed a server", "server", id, "reason", "entry did not come back after the store's outage")
+	}
+	return removed
+}
+
+// removeLapsed removes lapsed servers at the end of their grace period and publishes the change.
+func (s *State) removeLapsed() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.lapsed) > 0 && s.removeLapsedLocked(s.clock.Now()) {
+		s.publishViewLocked()
+	}
+}
