directory: order the records of a server by the store

The start time is the server's own clock, which may have been ahead at the start before: every record of the new start was ignored as "older than the one known", also the one that reports draining, for as long as the server lived.

A record from before the known one is ignored, a later one replaces it. Exceptions, neither of them a clock: a lower sequence number of the same start, because PROTOCOL.md says that a write without a response may be executed seconds later; and a record without a start time of a server that states it, because PROTOCOL.md says that a server always states it and that records with missing fields are from another writer.

The spec "ignores records of an earlier start of a server" required the opposite of the store's order: a record of a start with a lower start time, later in the store, had to be ignored. The spec is replaced by "follows the newest record of a server that can be decoded, whichever start it is from" and "never replaces a record by one from before it in the store" (read again by either kind of read, a removal, a crafted revision).

--- a/pkg/directory/servers.go
+++ b/pkg/directory/servers.go
@@ -38,6 +38,11 @@
 
 // applyServerLocked applies the record of one server and reports whether it changed the state.
 func (s *State) applyServerLocked(record Record, now time.Time) bool {
+	old, exists := s.servers[record.Key]
+	if exists && record.revision() < old.Revision {
+		logIgnored(record, "a later record is known")
+		return false
+	}
 	if len(record.Value) == 0 {
 		return s.removeServerLocked(record.Key, now)
 	}
@@ -46,25 +51,44 @@
 		klog.InfoS("ignored an invalid server record", "server", record.Key, "offset", record.Offset, "err", err)
 		return false
 	}
-	old, exists := s.servers[record.Key]
-	if exists && !server.supersedes(old) {
-		klog.InfoS("ignored an outdated server record", "server", record.Key, "offset", record.Offset,
-			"reason", "older than the one known")
-		return false
+	server.Revision = record.revision()
+	if exists {
+		if reason := server.reasonToIgnore(old); reason != "" {
+			logIgnored(record, reason)
+			return false
+		}
 	}
 	_, wasLapsed := s.lapsed[record.Key]
 	delete(s.lapsed, record.Key)
 	server.WarmUntil = now.Add(time.Duration(server.WarmUpMillis) * time.Millisecond)
 	if exists && server.equivalentTo(old) {
-		old.Sequence = server.Sequence
+		old.Sequence, old.Revision = server.Sequence, server.Revision
 		return wasLapsed
 	}
 	s.servers[record.Key] = &server
-	klog.InfoS("added or updated a server", "server", server.ID, "service", server.Service, "address", server.Address,
-		"leaving", server.Leaving, "incarnation", server.Incarnation, "offset", record.Offset)
+	logUpdated(&server, old)
 	return true
 }
 
+func logIgnored(record Record, reason string) {
+	klog.InfoS("ignored an outdated server record", "server", record.Key, "offset", record.Offset, "reason", reason)
+}
+
+// logUpdated logs the new record of a server; old is the previous one, nil if there was none.
+func logUpdated(server, old *Server) {
+	reason := "record changed"
+	switch {
+	case old == nil:
+		reason = "new server"
+	case server.Incarnation < old.Incarnation:
+		reason = "started again; its clock was ahead before"
+	case server.Incarnation > old.Incarnation:
+		reason = "started again"
+	}
+	klog.InfoS("added or updated a server", "server", server.ID, "service", server.Service, "address", server.Address,
+		"leaving", server.Leaving, "incarnation", server.Incarnation, "offset", server.Revision-1, "reason", reason)
+}
+
 // removeServerLocked removes a server and reports whether that changed the state. During the grace period after an outage of
 // the store the record may merely have lapsed, so that the server is kept until the end of that period.
 func (s *State) removeServerLocked(id string, now time.Time) bool {
--- a/pkg/directory/types.go
+++ b/pkg/directory/types.go
@@ -46,6 +46,9 @@
 	Offset int64
 }
 
+// revision returns the revision of the topic with this record as its last one.
+func (r *Record) revision() int64 { return r.Offset + 1 }
+
 // Batch is the result of a read.
 type Batch struct {
 	Records []Record
@@ -82,27 +85,36 @@
 	Slots int `json:"slots"`
 	// Leaving excludes the server from new requests.
 	Leaving bool `json:"leaving,omitempty"`
-	// Incarnation is the start time of the server in Unix milliseconds. Sequence numbers its records since then.
+	// Incarnation is the start time of the server in Unix milliseconds on its own clock, which may step back. Sequence numbers its
+	// records since then.
 	Incarnation int64 `json:"incarnation"`
 	Sequence    int64 `json:"sequence"`
+	// Revision is the offset after the record in the store. It is 0 if a VM of an earlier version sent the server.
+	Revision int64 `json:"revision,omitempty"`
 	// WarmUpMillis is the remaining warm-up time, in which the server is slow, counted from the read of the record.
 	WarmUpMillis int64 `json:"warmUpMs,omitempty"`
 	// WarmUntil is the end of the warm-up on the clock of this VM.
 	WarmUntil time.Time `json:"-"`
 }
 
-// supersedes reports whether s is at least as recent as old, the known record of the same server.
-func (s *Server) supersedes(old *Server) bool {
-	if s.Incarnation != old.Incarnation {
-		return s.Incarnation > old.Incarnation
+// reasonToIgnore returns why s, which is not before old in the store, does not replace it, and an empty string if it does. The
+// start times of two starts do not order them: the clock of the server may have been ahead. Within one start the sequence numbers
+// do, because a write that was not acknowledged may be executed after a later one.
+func (s *Server) reasonToIgnore(old *Server) string {
+	switch {
+	case s.Incarnation == 0 && old.Incarnation != 0:
+		return "start time missing" // A server states it always or never; the record is from another writer.
+	case s.Incarnation != 0 && s.Incarnation == old.Incarnation && s.Sequence < old.Sequence:
+		return "lower sequence number of the same start"
 	}
-	return s.Sequence >= old.Sequence
+	return ""
 }
 
-// equivalentTo reports whether s and old differ in nothing but their sequence number and warm-up time.
+// equivalentTo reports whether s and old differ in nothing but their sequence number, revision and warm-up time.
 func (s *Server) equivalentTo(old *Server) bool {
 	a, b := *s, *old
 	a.Sequence, b.Sequence = 0, 0
+	a.Revision, b.Revision = 0, 0
 	a.WarmUpMillis, b.WarmUpMillis = 0, 0
 	a.WarmUntil, b.WarmUntil = time.Time{}, time.Time{}
 	return a == b
