directory: tell VMs that are behind of servers removed after the grace period

Change: the removal goes into the history at the present revision (bounded as before by 512, then all servers are sent), the compressed list is dropped with it, and changes from another VM end a lapse only where they mention the server.

Measured: go test -race -count=1 ./pkg/directory ./docs ./internal/faultmatrix passes.

--- a/pkg/directory/servers.go
+++ b/pkg/directory/servers.go
@@ -110,7 +110,9 @@
 	return true
 }
 
-// removeLapsedLocked removes the servers whose lapsed records were not published again within the grace period.
+// removeLapsedLocked removes the servers whose lapsed records were not published again within the grace period. No record of the
+// store says so, and the revision stays: all VMs with the present revision know that the record lapsed. Those with an earlier one
+// are told of the removal, which the history holds at the present revision.
 func (s *State) removeLapsedLocked(now time.Time) bool {
 	removed := false
 	for id, until := range s.lapsed {
@@ -119,6 +121,8 @@
 		}
 		delete(s.lapsed, id)
 		delete(s.servers, id)
+		s.history.record(id, true, s.digest.ServersRevision)
+		s.compressed = compressedServers{}
 		removed = true
 		klog.InfoS("removed a server", "server", id, "reason", "entry did not come back after the store's outage")
 	}
--- a/pkg/directory/snapshot.go
+++ b/pkg/directory/snapshot.go
@@ -158,16 +158,30 @@
 		delete(s.servers, id)
 		s.history.record(id, true, snap.ServersRevision)
 	}
-	s.lapsed = map[string]time.Time{}
-	for id, millis := range snap.Lapsed {
-		s.lapsed[id] = now.Add(time.Duration(millis) * time.Millisecond)
-	}
+	s.applyLapsedLocked(snap, now)
 	klog.InfoS("applied servers from another VM", "vm", from, "changed", len(snap.Servers), "removed", len(snap.Removed),
 		"since", snap.Since, "revision", snap.ServersRevision, "previous", s.digest.ServersRevision, "age", snap.AgeMillis)
 	s.digest.ServersRevision = snap.ServersRevision
 	s.publishViewLocked()
 }
 
+// applyLapsedLocked applies which records have lapsed. A record that lapsed on this VM and that changes of the sender do not
+// mention is still lapsed: the sender has removed the server, with or without a grace period.
+func (s *State) applyLapsedLocked(snap Snapshot, now time.Time) {
+	if snap.Since == 0 {
+		s.lapsed = map[string]time.Time{}
+	}
+	for _, server := range snap.Servers {
+		delete(s.lapsed, server.ID)
+	}
+	for _, id := range snap.Removed {
+		delete(s.lapsed, id)
+	}
+	for id, millis := range snap.Lapsed {
+		s.lapsed[id] = now.Add(time.Duration(millis) * time.Millisecond)
+	}
+}
+
 func decompressServers(compressed []byte) (servers []Server, err error) {
 	data, err := decompress(compressed)
 	if err == nil {
