--- a/pkg/directory/servers.go
+++ b/pkg/directory/servers.go
@@ -12,31 +12,67 @@
 	defer s.mu.Unlock()
 	now := s.clock.Now()
 	changed := false
+	if complete {
+		changed = s.replaceServersLocked(b, now)
+	} else {
+		changed = s.updateServersLocked(b.Records, now)
+	}
+	s.digest.ServersNext = max(s.digest.ServersNext, b.Next)
+	if s.removeLapsedLocked(now) || changed {
+		s.publishViewLocked()
+	}
+}
+
+// updateServersLocked applies consecutive records and reports whether they changed the state. The state holds the effect of all
+// records before its revision: a snapshot of another VM may have brought them after the read began.
+func (s *State) updateServersLocked(records []Record, now time.Time) (changed bool) {
+	known := 0
+	for _, record := range records {
+		if record.Offset < s.digest.ServersRevision {
+			known++
+			continue
+		}
+		if s.applyServerLocked(record, now) {
+			changed = true
+			s.digest.ServersRevision = record.revision()
+			s.history.record(record.Key, s.servers[record.Key] == nil, record.revision())
+		}
+	}
+	if known > 0 {
+		klog.InfoS("skipped server records", "records", known, "revision", s.digest.ServersRevision,
+			"reason", "read before a snapshot that contains them was applied")
+	}
+	return changed
+}
+
+// replaceServersLocked applies the newest record of each server, and reports whether they changed the state. They may include
+// later records than b.Next, because the store returns them in pages. Those do not count for the revision, because earlier
+// records are still to be read: all records from b.Next on are read again.
+func (s *State) replaceServersLocked(b Batch, now time.Time) (changed bool) {
+	if b.Next < s.digest.ServersRevision {
+		klog.InfoS("ignored a read of all servers", "next", b.Next, "revision", s.digest.ServersRevision,
+			"reason", "older than a snapshot that was applied meanwhile")
+		return false
+	}
 	present := map[string]bool{}
 	for _, record := range b.Records {
 		present[record.Key] = true
 		if s.applyServerLocked(record, now) {
 			changed = true
-			s.digest.ServersRevision = max(s.digest.ServersRevision, record.Offset+1)
-			s.history.record(record.Key, s.servers[record.Key] == nil, record.Offset+1)
 		}
 	}
-	if complete {
-		for id := range s.servers {
-			if !present[id] && s.removeServerLocked(id, now) {
-				changed = true
-			}
+	for id, server := range s.servers {
+		if !present[id] && server.Revision <= b.Next && s.removeServerLocked(id, now) {
+			changed = true
 		}
-		s.digest.ServersRevision = max(s.digest.ServersRevision, b.Next)
-		s.history = newHistory(s.digest.ServersRevision)
-	}
-	s.digest.ServersNext = max(s.digest.ServersNext, b.Next)
-	if s.removeLapsedLocked(now) || changed {
-		s.publishViewLocked()
 	}
+	s.digest.ServersRevision = b.Next
+	s.history = newHistory(b.Next)
+	return changed
 }
 
-// applyServerLocked applies the record of one server and reports whether it changed the state.
+// applyServerLocked applies the record of one server and reports whether it changed the state, or may have changed it when it was
+// read before its turn by replaceServersLocked.
 func (s *State) applyServerLocked(record Record, now time.Time) bool {
 	old, exists := s.servers[record.Key]
 	if exists && record.revision() < old.Revision {
@@ -44,7 +80,8 @@
 		return false
 	}
 	if len(record.Value) == 0 {
-		return s.removeServerLocked(record.Key, now)
+		removedBefore := !exists && record.Key != ""
+		return removedBefore || s.removeServerLocked(record.Key, now)
 	}
 	server, err := s.codec.DecodeServer(record.Key, record.Value)
 	if err != nil {
@@ -62,8 +99,9 @@
 	delete(s.lapsed, record.Key)
 	server.WarmUntil = now.Add(time.Duration(server.WarmUpMillis) * time.Millisecond)
 	if exists && server.equivalentTo(old) {
+		readBefore := server.Revision == old.Revision
 		old.Sequence, old.Revision = server.Sequence, server.Revision
-		return wasLapsed
+		return wasLapsed || readBefore
 	}
 	s.servers[record.Key] = &server
 	logUpdated(&server, old)
--- a/pkg/directory/snapshot.go
+++ b/pkg/directory/snapshot.go
@@ -137,6 +137,7 @@
 }
 
 func (s *State) applySnapshotServersLocked(snap Snapshot, now time.Time, from string) {
+	previous := s.servers
 	if snap.Since == 0 {
 		if len(snap.CompressedServers) > 0 {
 			servers, err := decompressServers(snap.CompressedServers)
@@ -151,7 +152,7 @@
 	}
 	for _, server := range snap.Servers {
 		server.WarmUntil = now.Add(time.Duration(server.WarmUpMillis) * time.Millisecond)
-		s.servers[server.ID] = &server
+		s.servers[server.ID] = later(&server, previous[server.ID])
 		s.history.record(server.ID, false, snap.ServersRevision)
 	}
 	for _, id := range snap.Removed {
@@ -165,6 +166,15 @@
 	s.publishViewLocked()
 }
 
+// later returns the one of two records of a server that is later in the store: received, if a VM of an earlier version sent it
+// without a revision, or known is nil.
+func later(received, known *Server) *Server {
+	if known == nil || received.Revision == 0 || received.Revision >= known.Revision {
+		return received
+	}
+	return known
+}
+
 // applyLapsedLocked applies which records have lapsed. A record that lapsed on this VM and that changes of the sender do not
 // mention is still lapsed: the sender has removed the server, with or without a grace period.
 func (s *State) applyLapsedLocked(snap Snapshot, now time.Time) {
