directory: count failed reads of the store anew once another VM has read it

Cause: Follower.failures was reset only by a successful read of this VM. A VM whose state others confirm does not read, so that failures of outages hours apart added up (an operator's failures=27 at an age of 8 s). The next read then had a doubled timeout, one topic after the other, and 1 s in place of 0.2 s before the retry; "store is reachable again" named an outage long over. The spec failed on the parent commit: the first failed read of a new outage was counted as the fifth.

Change: before a read the count is dropped, with a log line, if the state was confirmed after the last failure.

Measured: go test -race -count=1 ./pkg/directory ./docs ./internal/faultmatrix passes.

--- a/pkg/directory/directory_test.go
+++ b/pkg/directory/directory_test.go
@@ -174,6 +174,29 @@
 		Expect(readsAtRank(9)).To(BeNumerically("<=", 4))
 	})
 
+	// Guards against a VM that tries again rarely, with doubled timeouts, because of failures in an earlier outage.
+	It("counts its failed reads anew when another VM has confirmed the state since", func() {
+		step()
+		store.setDown(true)
+		for follower.failures < 4 {
+			advance(100 * time.Millisecond)
+		}
+		reading := Digest{ConfigVersion: 3, ServersRevision: 2, ConfigNext: 1, ServersNext: 2, Reader: 7, Reading: 1}
+		advance(100 * time.Millisecond)
+		follower.ObserveDigest("reader", reading)
+		manualClock.Advance(readInterval)
+		Expect(follower.readDue()).To(BeTrue())
+		step()
+		Expect(follower.failures).To(Equal(1), "the reader was silent after one reading")
+		Expect(follower.retryAt.Sub(manualClock.Now())).To(Equal(retryDelay))
+		advance(retryDelay)
+		Expect(follower.failures).To(Equal(2), "in the same outage")
+		reading.Reading, reading.AgeMillis = 2, 10_000
+		follower.ObserveDigest("reader", reading)
+		advance(retryMax)
+		Expect(follower.failures).To(Equal(3), "a confirmation from before the failure")
+	})
+
 	// Guards against a VM that cannot reach the store at its start and serves nothing although its peers have the state.
 	It("applies the snapshot of another VM when the store does not answer", func() {
 		other := NewState(manualClock, testCodec{}, func(*View) {})
--- a/pkg/directory/follower.go
+++ b/pkg/directory/follower.go
@@ -94,8 +94,10 @@
 	seedTimeout time.Duration
 	// lastRead is the time of the last successful read of the store in Unix nanoseconds, 0 if there was none.
 	lastRead atomic.Int64
-	failures int
-	retryAt  time.Time
+	// failures is the number of failed reads since the store last confirmed the state, to this VM or another one. failedAt is the
+	// time of the last of them.
+	failures          int
+	failedAt, retryAt time.Time
 	// registeredAt is when this VM last registered in the store, lastDiscovery when it last read the VM records because no
 	// peer was live.
 	registeredAt, lastDiscovery time.Time
@@ -193,6 +195,7 @@
 // readStore updates the state from the store. After a failure it schedules a retry, and fetches a snapshot from a seed if
 // the store has never confirmed the state or an earlier read failed too.
 func (f *Follower) readStore(ctx context.Context) {
+	f.resetFailures()
 	started, previous := f.clock.Now(), f.state.Digest()
 	timeout := readTimeout
 	if f.failures > 0 {
@@ -213,19 +216,35 @@
 		}
 		return
 	}
+	f.recordFailure(err)
+	if _, confirmed := f.state.Age(); !confirmed || f.failures > 1 {
+		f.fetchFromSeeds(ctx)
+	}
+}
+
+// resetFailures forgets the failed reads if another VM has read the store since the last one: the outage has ended.
+func (f *Follower) resetFailures() {
+	age, confirmed := f.state.Age()
+	if f.failures == 0 || !confirmed || age >= f.clock.Now().Sub(f.failedAt) {
+		return
+	}
+	klog.InfoS("store has been reachable from another VM", "failures", f.failures, "age", age)
+	f.failures = 0
+}
+
+// recordFailure counts a failed read and schedules the next one.
+func (f *Follower) recordFailure(err error) {
 	storeFailures.Inc()
 	f.failures++
+	f.failedAt = f.clock.Now()
 	delay := min(retryMax, retryDelay<<min(f.failures-1, 4))
 	if f.peers.ReadRank() >= primaryReaders {
 		delay = lowRankRetryDelay
 	}
-	f.retryAt = f.clock.Now().Add(delay)
+	f.retryAt = f.failedAt.Add(delay)
 	age, confirmed := f.state.Age()
 	klog.InfoS("failed to read the store; retrying", "err", err, "failures", f.failures, "retryIn", delay, "known", confirmed,
 		"age", age)
-	if !confirmed || f.failures > 1 {
-		f.fetchFromSeeds(ctx)
-	}
 }
 
 // readAll reads the configuration and the servers, concurrently unless the previous read failed.
