directory: decode a server record in a function of its own

applyServerLocked had grown to 40 lines: decoding and the reasons to ignore a record move to decodeServer. No behaviour changes; go test -race ./pkg/directory passes.

--- a/pkg/directory/servers.go
+++ b/pkg/directory/servers.go
@@ -83,18 +83,10 @@
 		removedBefore := !exists && record.Key != ""
 		return removedBefore || s.removeServerLocked(record.Key, now)
 	}
-	server, err := s.codec.DecodeServer(record.Key, record.Value)
-	if err != nil {
-		klog.InfoS("ignored an invalid server record", "server", record.Key, "offset", record.Offset, "err", err)
+	server, ok := s.decodeServer(record, old)
+	if !ok {
 		return false
 	}
-	server.Revision = record.revision()
-	if exists {
-		if reason := server.reasonToIgnore(old); reason != "" {
-			logIgnored(record, reason)
-			return false
-		}
-	}
 	_, wasLapsed := s.lapsed[record.Key]
 	delete(s.lapsed, record.Key)
 	server.WarmUntil = now.Add(time.Duration(server.WarmUpMillis) * time.Millisecond)
@@ -108,6 +100,24 @@
 	return true
 }
 
+// decodeServer decodes a record of a server. ok is false if the record does not replace the known one; old is nil if there is none.
+func (s *State) decodeServer(record Record, old *Server) (server Server, ok bool) {
+	server, err := s.codec.DecodeServer(record.Key, record.Value)
+	if err != nil {
+		klog.InfoS("ignored an invalid server record", "server", record.Key, "offset", record.Offset, "err", err)
+		return Server{}, false
+	}
+	server.Revision = record.revision()
+	if old == nil {
+		return server, true
+	}
+	if reason := server.reasonToIgnore(old); reason != "" {
+		logIgnored(record, reason)
+		return Server{}, false
+	}
+	return server, true
+}
+
 func logIgnored(record Record, reason string) {
 	klog.InfoS("ignored an outdated server record", "server", record.Key, "offset", record.Offset, "reason", reason)
 }
