--- /dev/null
+++ b/pkg/gateway/ownership_test.go
@@ -0,0 +1,175 @@
+package gateway_test
+
+import (
+	"flag"
+	"fmt"
+	"io"
+	"maps"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+// The seed is fixed so that a failure is reproducible; -rapid.seed overrides it.
+func init() {
+	_ = flag.Set("rapid.seed", "20261206")
+	_ = flag.Set("rapid.checks", "12")
+}
+
+// attemptEnds are the ways in which a server ends its response, by name.
+var attemptEnds = map[string]func(*receivedRequest, net.Conn) bool{
+	"complete":       respondCorrectly,
+	"complete-large": respondLarge,
+	"broken":         breakOff,
+	"broken-chunk":   breakOffChunk,
+	"broken-large":   breakOffLarge,
+	"reset":          resetWithinBody,
+	"silent":         fallSilent,
+	"silent-large":   fallSilentLarge,
+	"unsigned":       respondUnsigned,
+	"failed":         failLarge,
+	"together":       respondLargeTogether,
+	"closed":         func(*receivedRequest, net.Conn) bool { return false },
+}
+
+// attemptEndNames returns the names in a fixed order, so that a seed always gives the same calls.
+func attemptEndNames() []string { return slices.Sorted(maps.Keys(attemptEnds)) }
+
+// resetWithinBody resets the connection within the body, as the kernel does for a server that crashes.
+func resetWithinBody(r *receivedRequest, c net.Conn) bool {
+	writePart(r, c, 200, largeBody, largeBody/2, "Proof: p")
+	_ = c.(*net.TCPConn).SetLinger(0)
+	return false
+}
+
+// fallSilentLarge falls silent after more of the body than is buffered.
+func fallSilentLarge(r *receivedRequest, c net.Conn) bool {
+	writePart(r, c, 200, 2*largeBody, largeBody, "Proof: p")
+	<-r.connectionClosed
+	return false
+}
+
+// scriptedCall is one request with the ways in which its server and its caller end it.
+type scriptedCall struct {
+	path, end string
+	// leaveAfter is when the caller closes its connection at the latest; zero: after the response. leaveWithin is the number of bytes
+	// after which it closes it; zero: no limit.
+	leaveAfter  time.Duration
+	leaveWithin int64
+}
+
+var scriptedCalls = rapid.SliceOfN(rapid.Custom(func(t *rapid.T) scriptedCall {
+	s := scriptedCall{
+		path:        rapid.SampledFrom([]string{"/safe/", "/once/"}).Draw(t, "path"),
+		end:         rapid.SampledFrom(attemptEndNames()).Draw(t, "end"),
+		leaveAfter:  time.Duration(rapid.SampledFrom([]int{0, 0, 0, 1, 20, 100, 500}).Draw(t, "leaveAfterMs")) * time.Millisecond,
+		leaveWithin: rapid.SampledFrom([]int64{0, 0, 1, streamBody / 4, largeBody / 2}).Draw(t, "leaveWithin"),
+	}
+	if s.leaveWithin > 0 && s.leaveAfter == 0 {
+		s.leaveAfter = routeTimeout // The response may be shorter.
+	}
+	return s
+}), 8, 16)
+
+func (s scriptedCall) run(f *fixture, id string) {
+	c := f.dial()
+	defer c.Close()
+	c.send("GET", s.path, id, nil)
+	if s.leaveAfter > 0 {
+		_ = c.SetReadDeadline(time.Now().Add(s.leaveAfter))
+	}
+	if s.leaveWithin > 0 {
+		_, _ = io.CopyN(io.Discard, c, s.leaveWithin)
+		return
+	}
+	_ = c.receive()
+}
+
+var _ = Describe("connections to servers", func() {
+	// Guards against a connection that is counted down twice, or never: whatever ends an attempt, its connection is given back
+	// exactly once.
+	It("are given back exactly once after random ends of attempts", func() {
+		const slots = 64
+		var (
+			mu    sync.Mutex
+			ended = map[string]int{}
+		)
+		respond := func(r *receivedRequest, c net.Conn) bool {
+			end, _, _ := strings.Cut(r.Header.Get("Id"), "/")
+			mu.Lock()
+			ended[end]++
+			mu.Unlock()
+			return attemptEnds[end](r, c)
+		}
+		first, second := startBackend(respond), startBackend(respond)
+		f := startGatewayWithSlots(slots, first, second)
+		gauge := metrics.GetOrCreateGauge("hornbeamway_upstream_open_connections", nil)
+		before := steadyValue(gauge)
+		open := func() int {
+			return f.Servers.OpenConnections(first.address) + f.Servers.OpenConnections(second.address)
+		}
+		stop := watchLowest(open)
+		calls := 0
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			var running sync.WaitGroup
+			for _, s := range scriptedCalls.Draw(t, "calls") {
+				id := fmt.Sprintf("%s/%d", s.end, calls)
+				calls++
+				running.Go(func() {
+					defer GinkgoRecover()
+					s.run(f, id)
+				})
+			}
+			running.Wait()
+			Eventually(func() int {
+				f.Servers.CloseIdle(first.address)
+				f.Servers.CloseIdle(second.address)
+				return open()
+			}, "5s", "10ms").Should(BeZero())
+		})
+		Expect(stop()).To(BeNumerically(">=", 0))
+		Eventually(gauge.Get).Should(Equal(before))
+		Expect(f.InFlight()).To(BeZero())
+		Expect(ended).To(HaveLen(len(attemptEnds)))
+	})
+})
+
+// steadyValue returns the value of a gauge once earlier specs no longer change it.
+func steadyValue(g *metrics.Gauge) (value float64) {
+	const calm = 100 * time.Millisecond
+	Eventually(func() bool {
+		value = g.Get()
+		time.Sleep(calm)
+		return g.Get() == value
+	}, "5s").Should(BeTrue())
+	return value
+}
+
+// watchLowest samples a number until the returned function is called, which returns the lowest.
+func watchLowest(sample func() int) (stop func() int) {
+	const interval = 500 * time.Microsecond
+	done, lowest := make(chan struct{}), make(chan int)
+	go func() {
+		least := sample()
+		for {
+			select {
+			case <-done:
+				lowest <- least
+				return
+			case <-time.After(interval):
+				least = min(least, sample())
+			}
+		}
+	}()
+	return func() int {
+		close(done)
+		return <-lowest
+	}
+}
