ingress: continue after a temporary error of Accept

EMFILE, ENFILE, ENOBUFS and ECONNABORTED leave the listener usable.

Change: ingress.RetryAccept repeats Accept after a temporary error with a log line, a counter and a pause of 50 ms. The listeners of callers, of health checks and of the administration API use it. A closed listener and any other error end the server as before.

No process was driven to its real limit of descriptors.

--- a/pkg/admin/server.go
+++ b/pkg/admin/server.go
@@ -16,6 +16,7 @@
 	"github.com/hornbeamway/hornbeamway/pkg/burn"
 	"github.com/hornbeamway/hornbeamway/pkg/config"
 	"github.com/hornbeamway/hornbeamway/pkg/dispatch"
+	"github.com/hornbeamway/hornbeamway/pkg/ingress"
 	"github.com/hornbeamway/hornbeamway/pkg/membership"
 	"github.com/hornbeamway/hornbeamway/pkg/preset"
 	"github.com/hornbeamway/hornbeamway/pkg/vmlist"
@@ -139,7 +140,7 @@
 
 // Serve serves the API on l until Close. It returns nil after Close.
 func (s *Server) Serve(l net.Listener) error {
-	if err := s.app.Listener(l, fiber.ListenConfig{DisableStartupMessage: true}); err != nil {
+	if err := s.app.Listener(ingress.RetryAccept(l), fiber.ListenConfig{DisableStartupMessage: true}); err != nil {
 		return errors.Mark(err, ErrServe)
 	}
 	return nil
--- a/pkg/entryvm/lifecycle.go
+++ b/pkg/entryvm/lifecycle.go
@@ -10,6 +10,7 @@
 	"github.com/gofiber/fiber/v3"
 	"k8s.io/klog/v2"
 
+	"github.com/hornbeamway/hornbeamway/pkg/ingress"
 	"github.com/hornbeamway/hornbeamway/pkg/upstream"
 )
 
@@ -183,7 +184,7 @@
 		// Closing the listener stops the server. The error of Close needs no handling, because the server stops anyway.
 		_ = v.sockets.health.Close()
 	}()
-	err := app.Listener(v.sockets.health, fiber.ListenConfig{DisableStartupMessage: true})
+	err := app.Listener(ingress.RetryAccept(v.sockets.health), fiber.ListenConfig{DisableStartupMessage: true})
 	if ctx.Err() != nil {
 		return nil
 	}
--- a/pkg/ingress/listener.go
+++ b/pkg/ingress/listener.go
@@ -44,9 +44,9 @@
 	admittedAt time.Time
 }
 
-// NewListener returns a Listener that accepts connections from l within the limits of o.
+// NewListener returns a Listener that accepts connections from l within the limits of o. A temporary error of l does not end it.
 func NewListener(l net.Listener, o Options) *Listener {
-	return &Listener{Listener: l, opts: o, open: map[*Conn]struct{}{}, perCaller: map[string]int{}}
+	return &Listener{Listener: RetryAccept(l), opts: o, open: map[*Conn]struct{}{}, perCaller: map[string]int{}}
 }
 
 // Accept implements net.Listener. It closes and counts refused connections and waits for one within the limits.
