peer: end the server when its listener is closed

Cause: Serve repeated Accept after every error until Close, that of a closed listener included, so that the process would go on without a listener for peer VMs and write an error line each 50 ms.

Change: Serve uses ingress.RetryAccept, which repeats after temporary errors only, in place of a loop of its own. It returns any other error.

--- a/pkg/peer/peer_test.go
+++ b/pkg/peer/peer_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -43,6 +44,45 @@
 	return s, l.Addr().String()
 }
 
+// failingListener returns an error from its first Accept.
+type failingListener struct {
+	net.Listener
+	err    error
+	failed bool
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if !l.failed {
+		l.failed = true
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Addr: l.Addr(), Err: l.err}
+	}
+	return l.Listener.Accept()
+}
+
+var _ = Describe("Server", func() {
+	// Guards against a process that ends when it runs out of file descriptors for a moment, and against one that continues without a
+	// listener.
+	DescribeTable("serves on after a temporary error of its listener, and ends with it", func(err error) {
+		l, listenErr := peer.Listen("127.0.0.1:0")
+		Expect(listenErr).NotTo(HaveOccurred())
+		s := peer.NewServer(options())
+		DeferCleanup(func() { _ = s.Close() })
+		peer.Handle(s, "echo", func(_ context.Context, t text) (text, error) { return t, nil })
+		served := make(chan error, 1)
+		go func() { served <- s.Serve(&failingListener{Listener: l, err: err}) }()
+		var result text
+		Expect(pool(options()).Call(context.Background(), l.Addr().String(), "echo", text{"hello"}, &result)).To(Succeed())
+		Expect(result.Text).To(Equal("hello"))
+		Expect(served).NotTo(Receive())
+		Expect(l.Close()).To(Succeed())
+		Eventually(served).Should(Receive(MatchError(net.ErrClosed)))
+	},
+		Entry("no file descriptors of the process", syscall.EMFILE),
+		Entry("no file descriptors of the system", syscall.ENFILE),
+		Entry("a connection that failed before", syscall.ECONNABORTED),
+	)
+})
+
 // pool returns a pool that is closed at the end of the spec.
 func pool(o peer.Options) *peer.Pool {
 	p := peer.NewPool(o)
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -13,6 +13,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/jsonrpc2"
 	"k8s.io/klog/v2"
+
+	"github.com/hornbeamway/hornbeamway/pkg/ingress"
 )
 
 // handler decodes parameters and calls a registered function.
@@ -65,33 +67,29 @@
 	return nil
 }
 
-// Serve accepts connections until Close. It returns nil after Close.
+// Serve accepts connections until Close. It returns nil after Close. A temporary error of l does not end it.
 func (s *Server) Serve(l net.Listener) error {
 	s.mu.Lock()
 	if s.closed {
 		s.mu.Unlock()
 		return errors.CombineErrors(ErrClosed, l.Close())
 	}
-	s.listener = l
+	s.listener = ingress.RetryAccept(l)
+	l = s.listener
 	s.mu.Unlock()
 	for {
 		raw, err := l.Accept()
-		if err == nil {
+		switch {
+		case err == nil:
 			s.accept(raw)
-			continue
-		}
-		if s.isClosed() {
+		case s.isClosed():
 			return nil
+		default:
+			return errors.Wrap(err, "accept a peer connection")
 		}
-		// Accept fails temporarily when file descriptors are exhausted; the listener remains usable.
-		klog.ErrorS(err, "failed to accept a peer connection; retrying")
-		time.Sleep(acceptRetry)
 	}
 }
 
-// acceptRetry is the wait after a failed accept.
-const acceptRetry = 50 * time.Millisecond
-
 func (s *Server) isClosed() bool {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
