--- a/pkg/gateway/ownership_test.go
+++ b/pkg/gateway/ownership_test.go
@@ -137,6 +137,8 @@
 		Expect(stop()).To(BeNumerically(">=", 0))
 		Eventually(gauge.Get).Should(Equal(before))
 		Expect(f.InFlight()).To(BeZero())
+		mu.Lock()
+		defer mu.Unlock()
 		Expect(ended).To(HaveLen(len(attemptEnds)))
 	})
 })
