gateway: end a streamed response at the deadline of its request for slow readers

Only reads from the server checked the deadline of a streamed response. A write to the caller had 20 s of its own, and the first 1 MiB of a response in chunks is passed on without a read, so that a caller who reads slowly or not at all held the server's connection long after the route's timeout.

The gateway sets it for a streamed response, 0.1 s after the deadline of the request. The next request starts without it.

--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -21,6 +21,9 @@
 // defaultCallerWait is the assumed wait of a caller that does not state one.
 const defaultCallerWait = 30 * time.Second
 
+// streamWriteMargin is the time after the deadline of a request in which the last part of a streamed response can be written.
+const streamWriteMargin = 100 * time.Millisecond
+
 // call is the state of one request of a caller.
 type call struct {
 	ctx       *fasthttp.RequestCtx
@@ -60,7 +63,8 @@
 	g.endRequest(c, c.closeConnection || g.draining.Load())
 }
 
-// endRequest closes the connection or keeps it open. The request no longer counts as in flight once its response is written.
+// endRequest closes the connection or keeps it open. The request no longer counts as in flight once its response is written. A response
+// that is still being read from its server has to be written by the deadline of the request.
 func (g *Gateway) endRequest(c *call, closeConnection bool) {
 	conn, ok := c.ctx.Conn().(*ingress.Conn)
 	if ok && !c.requestFullyRead(conn) {
@@ -71,11 +75,15 @@
 	if closeConnection {
 		c.ctx.SetConnectionClose()
 	}
+	body, streamed := c.ctx.Response.BodyStream().(*upstream.Body)
 	if ok {
 		conn.ResetRequest()
+		if streamed {
+			conn.SetResponseDeadline(c.deadline.Add(streamWriteMargin))
+		}
 	}
 	done := func() { g.inFlight.Add(-1) }
-	if body, streamed := c.ctx.Response.BodyStream().(*upstream.Body); streamed {
+	if streamed {
 		body.OnClose(done)
 		return
 	}
--- a/pkg/gateway/connection_test.go
+++ b/pkg/gateway/connection_test.go
@@ -135,22 +135,36 @@
 		Entry("in chunks", "Transfer-Encoding: chunked", fmt.Sprintf("%x\r\n", 2*largeBody)+strings.Repeat("x", largeBody)),
 	)
 
-	// Guards against a caller who reads a large response so slowly that it holds the server's connection for as long as it likes.
-	It("are given back when a caller reads a large response too slowly", func() {
+	// Guards against a caller who reads a large response so slowly, or not at all, that it holds the server's connection, and the part
+	// that was read, for longer than the route's timeout.
+	DescribeTable("are given back when a caller reads a large response too slowly", func(chunked bool, pause time.Duration) {
+		const length = 16 * largeBody
 		b := startBackend(func(r *receivedRequest, c net.Conn) bool {
-			writePart(r, c, 200, 16*largeBody, 16*largeBody, "Proof: p")
+			if !chunked {
+				writePart(r, c, 200, length, length, "Proof: p")
+				return false
+			}
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 X\r\nId: %s\r\nProof: p\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n",
+				r.Header.Get("Id"), length, strings.Repeat("x", length))
 			return false
 		})
 		f := startGateway(b)
 		c := f.dial()
+		Expect(c.Conn.(*net.TCPConn).SetReadBuffer(sendBuffer)).To(Succeed())
 		c.send("GET", "/safe/", "view", nil)
 		started, slow := time.Now(), make([]byte, sendBuffer)
 		for time.Since(started) < routeTimeout+500*time.Millisecond {
+			time.Sleep(pause)
 			if _, err := c.Read(slow); err != nil {
 				break
 			}
-			time.Sleep(10 * time.Millisecond)
 		}
 		Eventually(connectionsLeft(f, b), "1s", "50ms").Should(BeZero())
-	})
+		Expect(f.InFlight()).To(BeZero())
+	},
+		Entry("of known length", false, 10*time.Millisecond),
+		Entry("in chunks", true, 100*time.Millisecond),
+		Entry("of known length, and does not read it", false, 2*routeTimeout),
+		Entry("in chunks, and does not read it", true, 2*routeTimeout),
+	)
 })
--- a/pkg/ingress/conn.go
+++ b/pkg/ingress/conn.go
@@ -34,6 +34,8 @@
 	readWait time.Duration
 	// lingerOnClose is set if the remote side may still be sending when the connection is closed.
 	lingerOnClose bool
+	// responseDeadline limits all writes of the current response; zero: no limit.
+	responseDeadline time.Time
 
 	mu              sync.Mutex
 	awaitingRequest bool // waiting for the first byte of a request
@@ -99,6 +101,7 @@
 
 // beginWaiting records that the connection waits for a request. It returns false once the connection has been stopped.
 func (c *Conn) beginWaiting() bool {
+	c.responseDeadline = time.Time{}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.awaitingRequest, c.servingRequest = true, false
@@ -134,6 +137,9 @@
 	return c.servingRequest
 }
 
+// SetResponseDeadline limits the time until which the response to the current request can be written.
+func (c *Conn) SetResponseDeadline(t time.Time) { c.responseDeadline = t }
+
 // SetLinger makes Close drain the connection, because the remote side may still be sending.
 func (c *Conn) SetLinger() { c.lingerOnClose = true }
 
@@ -152,10 +158,14 @@
 	c.bytesAfterHead, c.readWait = 0, 0
 }
 
-// Write implements net.Conn. The write fails if the caller accepts no data within BodyIdleTimeout, because the response holds
-// a slot of a backend server until it has been written.
+// Write implements net.Conn. The write fails if the caller does not accept the data within BodyIdleTimeout, or by the response
+// deadline, because the response may hold a slot of a backend server until it has been written.
 func (c *Conn) Write(p []byte) (int, error) {
-	if err := c.SetWriteDeadline(time.Now().Add(c.listener.opts.BodyIdleTimeout)); err != nil {
+	deadline := time.Now().Add(c.listener.opts.BodyIdleTimeout)
+	if !c.responseDeadline.IsZero() && c.responseDeadline.Before(deadline) {
+		deadline = c.responseDeadline
+	}
+	if err := c.SetWriteDeadline(deadline); err != nil {
 		return 0, err
 	}
 	return c.Conn.Write(p)
