gateway: spec of a silent server within a streamed response at the caller's wait

Change: a spec with a wait of 0.3 s on a route with a timeout of 2 s, and a server that falls silent within 2 MiB.

--- a/pkg/gateway/connection_test.go
+++ b/pkg/gateway/connection_test.go
@@ -135,6 +135,19 @@
 		Entry("in chunks", "Transfer-Encoding: chunked", fmt.Sprintf("%x\r\n", 2*largeBody)+strings.Repeat("x", largeBody)),
 	)
 
+	// Guards against a large response that ends at the route's timeout only, after the wait of its caller.
+	It("end a large response at the end of the caller's wait if the server falls silent", func() {
+		const wait = 300 * time.Millisecond
+		b := startBackend(fallSilentLarge)
+		f := startGateway(b)
+		c := f.dial()
+		started := time.Now()
+		c.sendWaiting(wait, "GET", "/bulk/", "view", nil)
+		Expect(c.receive().err).To(HaveOccurred())
+		Expect(time.Since(started)).To(And(BeNumerically(">=", wait), BeNumerically("<", wait+500*time.Millisecond)))
+		Eventually(connectionsLeft(f, b), "1s", "50ms").Should(BeZero())
+	})
+
 	// Guards against a caller who reads a large response so slowly, or not at all, that it holds the server's connection, and the part
 	// that was read, for longer than the route's timeout.
 	DescribeTable("are given back when a caller reads a large response too slowly", func(chunked bool, pause time.Duration) {
