tests: the memory of many responses is measured on a route with a long objective

The log of that run shows why: 33 requests were refused as queue_full ('answer expected after 212ms, limit 180ms'), because reading the first responses took long on the busy machine and the route's objective is 200 ms. The requests now go to a route whose objective and timeout are 10 s and whose callers wait as long, so that each is in flight whatever the machine's speed. The bounds stay: all 160 in flight, a heap of less than 80 MiB.

--- a/pkg/gateway/endless_test.go
+++ b/pkg/gateway/endless_test.go
@@ -110,7 +110,7 @@
 		}))
 		runtime.GC()
 		for i := range requests {
-			f.dial().send("GET", "/upload/", fmt.Sprint(i), nil)
+			f.dial().sendWaiting(transferTimeout, "GET", "/patient/", fmt.Sprint(i), nil)
 		}
 		peak := uint64(0)
 		var stats runtime.MemStats
--- a/pkg/gateway/fixture_test.go
+++ b/pkg/gateway/fixture_test.go
@@ -185,6 +185,8 @@
 		{Name: "bulk", Host: "h", Prefix: "/bulk/", Shares: share, Idempotent: true, Bulk: true, Timeout: 2 * time.Second,
 			Objective: 10 * objective, MaxAttempts: 1},
 		{Name: "once", Host: "h", Prefix: "/once/", Shares: share, Timeout: routeTimeout, Objective: objective, MaxAttempts: 2},
+		{Name: "patient", Host: "h", Prefix: "/patient/", Shares: share, Timeout: transferTimeout, Objective: transferTimeout,
+			MaxAttempts: 1},
 		{Name: "upload", Host: "h", Prefix: "/upload/", Shares: share, Timeout: transferTimeout, Objective: objective, MaxAttempts: 2},
 	}, []routing.Service{{Name: "s"}}, routing.Limits{BodyBytes: 8 << 20, HeaderBytes: headerLimit})
 	Expect(err).NotTo(HaveOccurred())
