balance: a server that starts again is let in although it repeated that it was leaving

Seen by reading: a leaving server says so in each response until it exits, and the time of the last one was taken for the time of the statement. A start within 2 s after it, that is any quick restart under the same id, counted as the start that had made the statement, and was avoided for 2 minutes. Now the time at which it was first heard counts, and another start is avoided for 30 s at most. Pick is split: the search for the cheapest server is a function of its own.

--- a/pkg/balance/availability.go
+++ b/pkg/balance/availability.go
@@ -26,8 +26,8 @@
 	// leaving server usually exits.
 	peerLeavingTTL = 30 * time.Second
 	// otherStartTTL is how long a statement applies to a listed start of the server that is not the one which this VM knew when it
-	// heard the statement, but is not later than it. It covers the time in which a leaving server exits.
-	otherStartTTL = 2 * time.Minute
+	// heard the statement, but is not later than it. It covers the time in which a leaving server usually exits.
+	otherStartTTL = 30 * time.Second
 	// clockMargin is by how much the clocks of a server and of this VM may differ. A leaving server serves for seconds before it
 	// exits, so that its next start is later by more than that.
 	clockMargin = 2 * time.Second
@@ -67,7 +67,8 @@
 // availability is what is known of a server from its own responses. It is kept by the id of the server, whether or not the server is
 // listed: a list that is older than the response may contain the server, or an earlier start of it, or miss it for a while.
 type availability struct {
-	// incarnation is the start of the server that this VM knew when it heard the statement, at heardAt.
+	// incarnation is the start of the server that this VM knew when it heard the statement. heardAt is when it first heard that the
+	// server is leaving, or that it wants no requests: responses repeat it until the server exits.
 	incarnation int64
 	heardAt     time.Time
 	leaving     bool
@@ -146,6 +147,9 @@
 		change.HeldOff = !now.Before(a.heldUntil)
 		a.heldUntil = until
 	}
+	if change.Leaving || change.HeldOff {
+		a.heardAt = now
+	}
 	return change
 }
 
@@ -204,10 +208,10 @@
 		if len(b.availabilities) >= maxAvailabilities {
 			b.dropAvailabilities(now)
 		}
-		a = &availability{}
+		a = &availability{heardAt: now}
 		b.availabilities[server.ID] = a
 	}
-	a.incarnation, a.heardAt = server.Incarnation, now
+	a.incarnation = server.Incarnation
 	return a
 }
 
--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -191,14 +191,31 @@
 	if Urgent(r.Objective, r.Work) {
 		svc.lastUrgentAt = now
 	}
-	best, bestCost := (*serverState)(nil), 0.0
+	best, heldOff := b.cheapest(svc, r, now)
+	if best == nil {
+		return Choice{HeldOff: heldOff}, false
+	}
+	slowdown := best.slowdown(svc, now)
+	expected := b.expect(svc, best, r, now)
+	c = Choice{Server: best.info, Key: best.key, InFlight: best.totalInFlight, Slowdown: slowdown, ReportAge: -1,
+		WithinLimits: b.withinLimits(best, r, expected), Expected: time.Duration(expected.millis * float64(time.Millisecond))}
+	if !best.reportedAt.IsZero() {
+		c.ReportAge = now.Sub(best.reportedAt)
+	}
+	return c, true
+}
+
+// cheapest returns the server with the lowest cost that can be chosen, nil if there is none. heldOff is the time until the first hold
+// ends if holds alone are the reason. The caller holds the lock.
+func (b *Balancer) cheapest(svc *serviceState, r Request, now time.Time) (best *serverState, heldOff time.Duration) {
+	bestCost := 0.0
 	// triedAvailable is true if the request was already sent to a server that may get further ones.
 	triedAvailable := false
 	for _, s := range svc.servers {
 		a := b.availabilityOf(s.info, now)
 		status := a.at(now)
-		if left := a.holdLeft(now); status == HeldOff && (c.HeldOff == 0 || left < c.HeldOff) {
-			c.HeldOff = left
+		if left := a.holdLeft(now); status == HeldOff && (heldOff == 0 || left < heldOff) {
+			heldOff = left
 		}
 		if status != Available || s.misdirected {
 			continue
@@ -208,27 +225,17 @@
 			continue
 		}
 		cost := b.cost(svc, s, r, now) + b.random.Float64()*tieBreakRange
-		if b.random.Float64() >= a.returnShare(now) {
+		if share := a.returnShare(now); share < 1 && b.random.Float64() >= share {
 			cost += returningCost
 		}
 		if best == nil || cost < bestCost {
 			best, bestCost = s, cost
 		}
 	}
-	if best == nil {
-		if triedAvailable {
-			c.HeldOff = 0
-		}
-		return c, false
+	if triedAvailable {
+		heldOff = 0
 	}
-	slowdown := best.slowdown(svc, now)
-	expected := b.expect(svc, best, r, now)
-	c = Choice{Server: best.info, Key: best.key, InFlight: best.totalInFlight, Slowdown: slowdown, ReportAge: -1,
-		WithinLimits: b.withinLimits(best, r, expected), Expected: time.Duration(expected.millis * float64(time.Millisecond))}
-	if !best.reportedAt.IsZero() {
-		c.ReportAge = now.Sub(best.reportedAt)
-	}
-	return c, true
+	return best, heldOff
 }
 
 func excluded(keys []ServerKey, key ServerKey) bool {
