--- a/internal/lab/soak/checker.go
+++ b/internal/lab/soak/checker.go
@@ -92,8 +92,9 @@
 }
 
 func newChecker() *checker {
-	return &checker{now: time.Now, statements: newStatements(), requests: map[string]*request{}, routeChanges: make([][]routeChange, len(routes)),
-		drainAnnouncedAt: map[string]time.Time{}, disturbances: map[string]*disturbance{}, statusCounts: map[int]int{}}
+	return &checker{now: time.Now, statements: newStatements(), requests: map[string]*request{},
+		routeChanges: make([][]routeChange, len(routes)), drainAnnouncedAt: map[string]time.Time{},
+		disturbances: map[string]*disturbance{}, statusCounts: map[int]int{}}
 }
 
 func (c *checker) addViolationLocked(format string, args ...any) {
@@ -172,7 +173,7 @@
 		c.addViolationLocked("TWICE: %s ran on %v", id, r.runs)
 	}
 	if isRefusal(r.status) && routes[r.route].kind == "unsafe" {
-		c.addViolationLocked("REFUSED: %s was answered with status %d and ran later on %s", id, r.status, s.ID)
+		c.addViolationLocked("REFUSED: %s got status %d and ran later on %s", id, r.status, s.ID)
 	}
 	if !slices.Contains(routes[r.route].allowed, s.Service) {
 		c.addViolationLocked("ROUTE: %s of %s ran at %s", id, routes[r.route].name, s.Service)
@@ -219,12 +220,12 @@
 			bodyMatches = bodyMatches || resp.body == platformserver.ResponseBody(service, r.id)
 		}
 		if !bodyMatches || resp.signature == "" || resp.requestID != r.id {
-			c.addViolationLocked("MIXED: %s got an answer to %q, signature %q, %d bytes", r.id, resp.requestID, resp.signature,
+			c.addViolationLocked("MIXED: %s got a response to %q, signature %q, %d bytes", r.id, resp.requestID, resp.signature,
 				len(resp.body))
 		}
 	}
 	if isRefusal(resp.status) && routes[r.route].kind == "unsafe" && len(r.runs) > 0 {
-		c.addViolationLocked("REFUSED: %s was answered with status %d and ran on %v", r.id, resp.status, r.runs)
+		c.addViolationLocked("REFUSED: %s got status %d and ran on %v", r.id, resp.status, r.runs)
 	}
 	if resp.elapsed > routeTimeout+timeoutSlack && r.undisturbed && c.undisturbed(r.vm, c.now()) {
 		c.addViolationLocked("TIMEOUT: %s took %v", r.id, resp.elapsed.Round(time.Millisecond))
--- a/internal/lab/soak/checker_test.go
+++ b/internal/lab/soak/checker_test.go
@@ -25,7 +25,7 @@
 		server = &platformserver.Server{ID: "i-001", Service: services[0]}
 	})
 
-	// send has a caller send a request to a VM, which reaches the server.
+	// send makes a caller send a request to a VM. The request reaches the server.
 	send := func(vm string, s *platformserver.Server) *request {
 		sent++
 		r := &request{id: fmt.Sprint(sent), vm: vm, sent: now}
@@ -36,13 +36,14 @@
 	healthCheck := func(connRequestID string) {
 		c.RequestArrived(server, platformserver.Exchange{ConnRequestID: connRequestID, HealthCheck: true})
 	}
-	// passOnLeaving has the server respond that it leaves, and the VM pass that response on.
+	// passOnLeaving makes the server respond that it is leaving, and the VM pass that response on.
 	passOnLeaving := func() {
 		r := send(vmName, server)
-		c.ResponseSent(server, platformserver.Exchange{RequestID: r.id, ConnRequestID: r.id}, platformserver.Response{Status: 500, Leaving: true})
+		c.ResponseSent(server, platformserver.Exchange{RequestID: r.id, ConnRequestID: r.id},
+			platformserver.Response{Status: 500, Leaving: true})
 		c.responseReceived(r, response{status: 500, requestID: r.id, signature: server.ID + "." + r.id})
 	}
-	// refuse has the server refuse a request with a hold-off of 3 s.
+	// refuse makes the server refuse a request with a hold-off of 3 s.
 	refuse := func() *request {
 		r := send(vmName, server)
 		c.ResponseSent(server, platformserver.Exchange{RequestID: r.id, ConnRequestID: r.id},
@@ -53,7 +54,7 @@
 	disturb := func(key string) { c.beginDisturbance(key)() }
 
 	Describe("for servers that state that they leave", func() {
-		// Guards against requests that a VM sends to a server of which it has passed on that it leaves.
+		// Guards against a VM that sends requests to a server after it has passed on that the server is leaving.
 		It("reports a request sent later than the drain bound", func() {
 			passOnLeaving()
 			now = now.Add(drainBound + time.Millisecond)
@@ -61,17 +62,18 @@
 			Expect(violated()).To(Equal([]string{"DRAIN"}))
 		})
 
-		// Guards against a product that hides the statement of an unsigned refusal behind the signature rule.
+		// Guards against a VM that passes on the statement of an unsigned refusal and does not apply it.
 		It("counts an unsigned response that states it", func() {
 			r := send(vmName, server)
-			c.ResponseSent(server, platformserver.Exchange{RequestID: r.id, ConnRequestID: r.id}, platformserver.Response{Status: 503, Leaving: true})
+			c.ResponseSent(server, platformserver.Exchange{RequestID: r.id, ConnRequestID: r.id},
+				platformserver.Response{Status: 503, Leaving: true})
 			c.responseReceived(r, response{status: 503, requestID: r.id, leaving: true})
 			now = now.Add(drainBound + time.Millisecond)
 			send(vmName, server)
 			Expect(violated()).To(Equal([]string{"DRAIN"}))
 		})
 
-		// Guards against disturbances of the store or of links that excuse what only the VM's own knowledge decides.
+		// Guards against a checker that excuses a request by a disturbance which does not make the VM forget the statement.
 		It("is not excused by disturbances of the store and of links", func() {
 			passOnLeaving()
 			disturb(allVMs)
@@ -82,7 +84,7 @@
 			Expect(violated()).To(Equal([]string{"DRAIN"}))
 		})
 
-		// Guards against an excuse that outlasts the restart: a VM that passes on a further statement is bound by it again.
+		// Guards against a checker that excuses a VM for good after a restart, although it has passed on a further statement since.
 		It("applies again after a disturbance of the VM once it passes on a further response", func() {
 			passOnLeaving()
 			disturb(vmName)
--- a/internal/lab/soak/serverfaults.go
+++ b/internal/lab/soak/serverfaults.go
@@ -35,7 +35,7 @@
 }
 
 // drainServer starts a replacement, publishes the state draining for the server, lets it serve requests until drainBound and 2 s
-// more have passed, and terminates it. By draw, the server's responses state that it leaves, too.
+// more have passed, and terminates it. By draw, the server's responses also state that it is leaving.
 func (h *harness) drainServer(ctx context.Context, draw int) {
 	if h.store.Faults() != (logservice.Faults{}) {
 		return
@@ -44,9 +44,7 @@
 	if s == nil {
 		return
 	}
-	if _, err := h.addServer(s.Service, "127.0.0.1:0"); err != nil {
-		h.checker.addViolation("failed to add a server: %v", err)
-	}
+	h.startReplacement(s)
 	h.mu.Lock()
 	s.state = "draining"
 	h.writeServerRecord(s)
@@ -64,7 +62,7 @@
 	s.Close()
 }
 
-// leaveServer starts a replacement and makes the responses of a server state that it leaves, while its store record remains
+// leaveServer starts a replacement and makes the responses of a server state that it is leaving, while its store record remains
 // ready. The server serves requests until drainBound and 3 s more have passed, and exits. By draw, its health checks fail, and
 // the store is down or cut off from all VMs meanwhile.
 func (h *harness) leaveServer(ctx context.Context, draw int) {
@@ -72,9 +70,7 @@
 	if s == nil {
 		return
 	}
-	if _, err := h.addServer(s.Service, "127.0.0.1:0"); err != nil {
-		h.checker.addViolation("failed to add a server: %v", err)
-	}
+	h.startReplacement(s)
 	sleep(ctx, time.Second)
 	variant := draw / victimRange
 	if variant%2 == 0 {
--- a/internal/lab/soak/servers.go
+++ b/internal/lab/soak/servers.go
@@ -18,7 +18,7 @@
 	seq           int   // sequence number of the last store record
 	state         string
 	dataCentre    string
-	reserved      bool // whether a fault ends it
+	reserved      bool // whether a fault that ends it has begun
 	stopped       bool // whether it was terminated and writes no more heartbeats
 	restarting    bool // whether it was terminated and starts again
 	lastHeartbeat time.Time
@@ -86,7 +86,7 @@
 	}
 }
 
-// pickServer returns a server that no fault ends, of a service that has at least three of them, or nil if there is none.
+// pickServer returns a server that is not reserved, of a service that has at least three of them, or nil if there is none.
 func (h *harness) pickServer(draw int) *server {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -104,6 +104,7 @@
 	return s
 }
 
+// pickServerLocked is pickServer. mu must be held.
 func (h *harness) pickServerLocked(draw int) *server {
 	availableCount := map[string]int{}
 	for _, s := range h.servers {
@@ -142,6 +143,11 @@
 // replaceServer terminates a server and starts a new one of the same service.
 func (h *harness) replaceServer(s *server) {
 	h.stopServer(s)
+	h.startReplacement(s)
+}
+
+// startReplacement starts a server of the same service as s.
+func (h *harness) startReplacement(s *server) {
 	if _, err := h.addServer(s.Service, "127.0.0.1:0"); err != nil {
 		h.checker.addViolation("failed to replace server %s: %v", s.ID, err)
 	}
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -153,7 +153,7 @@
 func (h *harness) report(o Options, injected []string) error {
 	h.checker.mu.Lock()
 	defer h.checker.mu.Unlock()
-	fmt.Fprintf(o.Out, "seed %d: %d faults, answers by status %v, %d promises broken %v\n",
+	fmt.Fprintf(o.Out, "seed %d: %d faults, responses by status %v, %d violations %v\n",
 		o.Seed, len(injected), h.checker.statusCounts, len(h.checker.violations),
 		lo.CountValuesBy(h.checker.violations, violation.guarantee))
 	if len(h.checker.violations) == 0 {
--- a/internal/lab/soak/statements.go
+++ b/internal/lab/soak/statements.go
@@ -30,8 +30,8 @@
 
 // holdOff is the time for which a server has asked a VM for no requests.
 type holdOff struct {
-	answered, until time.Time
-	arrivals        int // requests and attributable health checks later than holdOffSlack after answered
+	respondedAt, until time.Time
+	arrivals           int // requests and attributable health checks later than holdOffSlack after respondedAt
 }
 
 func newStatements() statements {
@@ -66,7 +66,7 @@
 	}
 	l := link{r.vm, s}
 	active := slices.DeleteFunc(c.statements.holdOffs[l], func(h *holdOff) bool { return !c.now().Before(h.until) })
-	c.statements.holdOffs[l] = append(active, &holdOff{answered: c.now(), until: resp.RetryAt})
+	c.statements.holdOffs[l] = append(active, &holdOff{respondedAt: c.now(), until: resp.RetryAt})
 }
 
 // RequestArrived checks that a server's statements permit a request or a health check that has reached it. Requests that are
@@ -100,13 +100,13 @@
 	now := c.now()
 	l := link{vm, s}
 	for _, h := range c.statements.holdOffs[l] {
-		if now.Sub(h.answered) <= holdOffSlack || !now.Before(h.until) || c.disturbedSince(h.answered, vm, storeLink(vm), s.ID) {
+		if now.Sub(h.respondedAt) <= holdOffSlack || !now.Before(h.until) || c.disturbedSince(h.respondedAt, vm, storeLink(vm), s.ID) {
 			continue
 		}
 		h.arrivals++
 		if h.arrivals > holdOffLimit {
 			c.addViolationLocked("BUDGET: %d requests reached %s from %s, the last one %v after a response with Retry-After of %v",
-				h.arrivals, s.ID, vm, now.Sub(h.answered).Round(time.Millisecond), h.until.Sub(h.answered).Round(time.Millisecond))
+				h.arrivals, s.ID, vm, now.Sub(h.respondedAt).Round(time.Millisecond), h.until.Sub(h.respondedAt).Round(time.Millisecond))
 			delete(c.statements.holdOffs, l)
 			return
 		}
--- a/internal/standin/platformserver/faults.go
+++ b/internal/standin/platformserver/faults.go
@@ -6,17 +6,28 @@
 type Faults struct {
 	// Slowdown is a factor on the service time; 0 and 1 have no effect.
 	Slowdown float64
-	// These are probabilities from 0 to 1. DropResponse closes the connection after the request has run, without a response.
-	// TruncateResponse closes it within the response. DuplicateResponse responds twice, the second time with a delay.
-	// Unsigned omits the signature. Failed responds with 500. RefuseBeforeBody refuses a request before its body has been
-	// read. Refuse refuses requests and health checks as not run. DuplicateRefusal sends a refusal, also with status 421, twice;
-	// the copy arrives up to maxRefusalCopyDelay later, possibly while a further request on the connection runs. TruncateHead
-	// closes the connection within the head of the response.
-	DropResponse, TruncateResponse, DuplicateResponse, Unsigned, Failed, RefuseBeforeBody float64
-	Refuse, DuplicateRefusal, TruncateHead                                                float64
+
+	// The following are probabilities from 0 to 1.
+
+	// DropResponse closes the connection after the request has run, without a response.
+	DropResponse float64
+	// TruncateHead closes the connection within the head of the response, TruncateResponse within its body.
+	TruncateHead, TruncateResponse float64
+	// DuplicateResponse responds twice, the second time up to maxResponseCopyDelay later.
+	DuplicateResponse float64
+	// Unsigned omits the signature.
+	Unsigned float64
+	// Failed responds with status 500.
+	Failed float64
+	// Refuse refuses requests and health checks as not run. RefuseBeforeBody refuses a request before its body has been read.
+	Refuse, RefuseBeforeBody float64
+	// DuplicateRefusal sends a refusal, also one with status 421, twice. The copy arrives up to maxRefusalCopyDelay later, possibly
+	// while a further request on the connection runs.
+	DuplicateRefusal float64
+
 	// RefusalDelay is the longest time by which refusals are delayed.
 	RefusalDelay time.Duration
-	// Hang accepts requests but neither runs nor answers them.
+	// Hang accepts requests but neither runs them nor responds.
 	Hang bool
 }
 
--- a/internal/standin/platformserver/response.go
+++ b/internal/standin/platformserver/response.go
@@ -27,6 +27,8 @@
 	maxResponseCopyDelay = 30 * time.Millisecond
 	// maxRefusalCopyDelay is the same for refusals. It exceeds the time in which the refused request can return.
 	maxRefusalCopyDelay = 400 * time.Millisecond
+	// truncatedLength is the Content-Length, in bytes, of a response that is truncated. Fewer bytes are written.
+	truncatedLength = 900
 )
 
 // ResponseBody returns the response body of a request, which depends on the service and the request ID.
@@ -72,7 +74,7 @@
 		return false
 	}
 	if rand.Float64() < f.DuplicateRefusal {
-		// The product of two draws favors short delays.
+		// The product of two draws favours short delays.
 		delay := time.Duration(rand.Float64() * rand.Float64() * float64(maxRefusalCopyDelay))
 		time.AfterFunc(delay, func() { _, _ = io.WriteString(w.conn, text) })
 	}
@@ -88,12 +90,13 @@
 	case draw < f.DropResponse:
 		return false
 	case rand.Float64() < f.TruncateHead:
-		head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s\r\nContent-Length: 900\r\n\r\n", HeaderRequestID, id, signatureHeader)
+		head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s\r\nContent-Length: %d\r\n\r\n", HeaderRequestID, id,
+			signatureHeader, truncatedLength)
 		_, _ = io.WriteString(w.conn, head[:rand.IntN(len(head))])
 		return false
 	case draw < f.DropResponse+f.TruncateResponse:
-		_, _ = fmt.Fprintf(w.conn, "HTTP/1.1 200 OK\r\nContent-Length: 900\r\n%s: %s\r\n%s\r\n\r\nhalf",
-			HeaderRequestID, id, signatureHeader)
+		_, _ = fmt.Fprintf(w.conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n%s: %s\r\n%s\r\n\r\nhalf",
+			truncatedLength, HeaderRequestID, id, signatureHeader)
 		return false
 	case draw < f.DropResponse+f.TruncateResponse+f.Unsigned:
 		return w.write(200, ResponseBody(w.server.Service, id))
--- a/pkg/availability/recorder.go
+++ b/pkg/availability/recorder.go
@@ -1,5 +1,6 @@
 // Package availability applies what backend servers state about their availability in their responses: that they are leaving, or
-// that they want no requests for some time. The balancer keeps it; this package logs and counts it and tells the peer VMs.
+// that they want no requests for some time. The balancer keeps the statements; this package logs and counts them
+// and tells the peer VMs.
 package availability
 
 import (
@@ -37,7 +38,7 @@
 	change := r.Balancer.RecordStatement(server, s, now)
 	if change.Err != nil {
 		oddStatements.Inc()
-		klog.InfoS("a server sent an odd Retry-After", "server", server.ID, "service", server.Service, "source", source, "hold",
+		klog.InfoS("a server sent an unexpected Retry-After", "server", server.ID, "service", server.Service, "source", source, "hold",
 			change.Hold, "err", change.Err)
 	}
 	if change.HeldOff {
--- a/pkg/balance/availability.go
+++ b/pkg/balance/availability.go
@@ -19,24 +19,24 @@
 	maxHold = 5 * time.Minute
 	// unreadableHold is the time for which a server gets no requests if its Retry-After cannot be read.
 	unreadableHold = time.Second
-	// returnTime is the time after a hold in which requests come back to a server gradually. If all came back at once, it would
-	// have to turn them away again.
-	returnTime = time.Second
+	// rampUpTime is the time after a hold in which a server gets a growing share of its usual requests. If it got all of them at
+	// once, it would have to refuse them again.
+	rampUpTime = time.Second
 	// peerLeavingTTL is how long a server is not used because a peer VM was told that it is leaving. It covers the time in which a
 	// leaving server usually exits.
 	peerLeavingTTL = 30 * time.Second
-	// otherStartTTL is how long a statement applies to a listed start of the server that is not the one which this VM knew when it
-	// heard the statement, but is not later than it. It covers the time in which a leaving server usually exits.
+	// otherStartTTL is how long a statement also applies to a start of the server other than the one that was listed when this VM
+	// heard the statement, if that start is not later than the statement. It covers the time in which a leaving server usually exits.
 	otherStartTTL = 30 * time.Second
-	// clockMargin is by how much the clocks of a server and of this VM may differ. A leaving server serves for seconds before it
-	// exits, so that its next start is later by more than that.
+	// clockMargin is the assumed limit of the difference between the clocks of a server and of this VM. A leaving server serves
+	// for seconds before it exits, so that its next start is later by more than that.
 	clockMargin = 2 * time.Second
-	// maxAvailabilities bounds the servers whose statements are kept. The ones that changed least recently are dropped first.
+	// maxAvailabilities bounds the number of servers whose statements are kept. The oldest statements are dropped first.
 	maxAvailabilities = 4096
 )
 
-// ErrRetryAfter reports a Retry-After that is no number of seconds within bounds. The hold is bounded.
-var ErrRetryAfter = errors.New("odd Retry-After")
+// ErrRetryAfter reports a Retry-After that is not a number of seconds from 0 to maxHold. A bounded hold is applied in its place.
+var ErrRetryAfter = errors.New("unexpected Retry-After")
 
 // Statement is what a response says about the availability of the server that sent it.
 type Statement struct {
@@ -108,17 +108,18 @@
 	return max(0, a.heldUntil.Sub(now))
 }
 
-// returnShare returns the share of its usual requests that a server gets at a time: it grows from 0 to 1 in the time after a hold.
-func (a *availability) returnShare(now time.Time) float64 {
+// rampUpShare returns the share of its usual requests that a server gets at a time. It grows from 0 to 1 within rampUpTime after a
+// hold.
+func (a *availability) rampUpShare(now time.Time) float64 {
 	if a == nil || a.heldUntil.IsZero() {
 		return 1
 	}
-	return min(1, float64(now.Sub(a.heldUntil))/float64(returnTime))
+	return min(1, float64(now.Sub(a.heldUntil))/float64(rampUpTime))
 }
 
-// outdated reports whether the availability no longer differs from that of a server without statements.
-func (a *availability) outdated(now time.Time) bool {
-	return a.at(now) == Available && a.returnShare(now) >= 1
+// expired reports whether the availability no longer differs from that of a server without statements.
+func (a *availability) expired(now time.Time) bool {
+	return a.at(now) == Available && a.rampUpShare(now) >= 1
 }
 
 // StatementChange is what a statement has changed.
@@ -127,12 +128,12 @@
 	Leaving, HeldOff bool
 	// Hold is the time for which the statement asks for no requests.
 	Hold time.Duration
-	// Err is ErrRetryAfter if the Retry-After is odd.
+	// Err is ErrRetryAfter, with the value, if the Retry-After is not a number of seconds within bounds.
 	Err error
 }
 
-// RecordStatement applies what a response of a server says about its availability. It remains in force until the server starts
-// again, whatever the store or peer VMs say.
+// RecordStatement applies what a response of a server says about its availability, whatever the store or peer VMs say. That it is
+// leaving remains in force until it starts again; a hold ends with its time, or when the server starts again.
 func (b *Balancer) RecordStatement(server *directory.Server, s Statement, now time.Time) (change StatementChange) {
 	if s == (Statement{}) {
 		return change
@@ -215,10 +216,10 @@
 	return a
 }
 
-// dropAvailabilities makes room for further records: it drops the outdated ones, or the one that changed least recently if there
+// dropAvailabilities makes room for further records: it drops the expired ones, or the one with the oldest statement if there
 // are none.
 func (b *Balancer) dropAvailabilities(now time.Time) {
-	maps.DeleteFunc(b.availabilities, func(_ string, a *availability) bool { return a.outdated(now) })
+	maps.DeleteFunc(b.availabilities, func(_ string, a *availability) bool { return a.expired(now) })
 	if len(b.availabilities) < maxAvailabilities {
 		return
 	}
@@ -228,8 +229,8 @@
 	delete(b.availabilities, oldest)
 }
 
-// parseHold returns the time for which a server with a Retry-After gets no requests: a number of seconds, which may have a
-// fraction, or a date. Error: ErrRetryAfter.
+// parseHold returns the time for which a server with a Retry-After gets no requests. The value should be a number of seconds, which
+// may have a fraction. For any other, also a date, it returns a bounded hold together with ErrRetryAfter.
 func parseHold(retryAfter string, now time.Time) (time.Duration, error) {
 	retryAfter = strings.TrimSpace(retryAfter)
 	if retryAfter == "" {
--- a/pkg/balance/availability_test.go
+++ b/pkg/balance/availability_test.go
@@ -87,7 +87,7 @@
 		Expect(b.Availability(x, start.Add(time.Minute))).To(Equal(balance.Leaving))
 	})
 
-	// Guards against a server that has asked for a pause and gets all requests at once at its end, which it turns away again.
+	// Guards against a server that gets all requests at once at the end of its hold and has to refuse them again.
 	It("lets requests come back gradually after a hold", func() {
 		b := newBalancer(x, y)
 		b.RecordStatement(x, balance.Statement{RetryAfter: "2.5"}, start)
@@ -105,7 +105,7 @@
 		Expect(b.Availability(x, start.Add(2900*time.Millisecond))).To(Equal(balance.HeldOff))
 	})
 
-	// Guards against callers who are told nothing of when a server is available again.
+	// Guards against a refusal that does not say when a server is available again.
 	It("tells when the first hold ends if all servers are held off", func() {
 		b := newBalancer(x, y)
 		b.RecordStatement(x, balance.Statement{RetryAfter: "3"}, start)
--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -179,8 +179,8 @@
 // Urgent reports whether an objective is so short, compared with the usual work of a request, that a slow server would miss it.
 func Urgent(objective, work time.Duration) bool { return objective <= urgentWorkFactor*work }
 
-// Pick returns the server with the lowest cost; ok is false if the service has no server that can be chosen. A server that has said
-// that it is leaving, or has asked for no requests, cannot.
+// Pick returns the server with the lowest cost; ok is false if the service has no server that can be chosen. Servers that have
+// stated that they are leaving, or have asked for no requests, are not chosen.
 func (b *Balancer) Pick(r Request, now time.Time) (c Choice, ok bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -225,8 +225,8 @@
 			continue
 		}
 		cost := b.cost(svc, s, r, now) + b.random.Float64()*tieBreakRange
-		if share := a.returnShare(now); share < 1 && b.random.Float64() >= share {
-			cost += returningCost
+		if share := a.rampUpShare(now); share < 1 && b.random.Float64() >= share {
+			cost += rampUpCost
 		}
 		if best == nil || cost < bestCost {
 			best, bestCost = s, cost
--- a/pkg/balance/cost.go
+++ b/pkg/balance/cost.go
@@ -50,8 +50,8 @@
 	maxUnreachableBackoff     = 4 * time.Second
 	// unreachableCost makes an unreachable server the last choice, in ms.
 	unreachableCost = 10_000.0
-	// returningCost makes a server that gets only a part of its requests after a hold the last choice for the others, in ms.
-	returningCost = 10_000.0
+	// rampUpCost, in ms, makes a server the last choice for the requests that it does not get yet after a hold; see rampUpTime.
+	rampUpCost = 10_000.0
 	// outsideLimitsCost, in ms, is added for a server outside the limits of the request, which would then be refused, so that
 	// a server within the limits is preferred even if it fails at times. The preference ends above a failure rate of
 	// maxFailureRate. For requests that cannot be sent again after a failure it ends above maxFailureRateOnce, because they can
--- a/pkg/directory/fetch.go
+++ b/pkg/directory/fetch.go
@@ -11,11 +11,11 @@
 )
 
 const (
-	// snapshotJitter bounds the random delay before a VM requests a snapshot from one with a newer state. relayTimeout is how
-	// long a VM that does not fetch changes from other data centres itself waits for a peer of its own data centre to have
-	// them.
+	// snapshotJitter bounds the random delay before a VM requests a snapshot from one with a newer state.
 	snapshotJitter = 60 * time.Millisecond
-	relayTimeout   = 250 * time.Millisecond
+	// relayTimeout is how long a VM that does not fetch changes from other data centres itself waits for a peer of its own data
+	// centre to have them.
+	relayTimeout = 250 * time.Millisecond
 	// snapshotTimeout bounds the transfer of a snapshot between two VMs.
 	snapshotTimeout = 500 * time.Millisecond
 	// newerPeersCapacity bounds the queue of VMs with a newer state. A snapshot from any one of them is enough.
--- a/pkg/directory/servers.go
+++ b/pkg/directory/servers.go
@@ -71,8 +71,8 @@
 	return changed
 }
 
-// applyServerLocked applies the record of one server and reports whether it changed the state, or may have changed it when it was
-// read before its turn by replaceServersLocked.
+// applyServerLocked applies the record of one server and reports whether it changed the state. It also returns true if a read of
+// all servers may have applied the record already, as one from its Next on: the revision and the history do not include it yet.
 func (s *State) applyServerLocked(record Record, now time.Time) bool {
 	old, exists := s.servers[record.Key]
 	if exists && record.revision() < old.Revision {
@@ -80,8 +80,8 @@
 		return false
 	}
 	if len(record.Value) == 0 {
-		removedBefore := !exists && record.Key != ""
-		return removedBefore || s.removeServerLocked(record.Key, now)
+		alreadyRemoved := !exists && record.Key != ""
+		return alreadyRemoved || s.removeServerLocked(record.Key, now)
 	}
 	server, ok := s.decodeServer(record, old)
 	if !ok {
@@ -91,9 +91,9 @@
 	delete(s.lapsed, record.Key)
 	server.WarmUntil = now.Add(time.Duration(server.WarmUpMillis) * time.Millisecond)
 	if exists && server.equivalentTo(old) {
-		readBefore := server.Revision == old.Revision
+		alreadyApplied := server.Revision == old.Revision
 		old.Sequence, old.Revision = server.Sequence, server.Revision
-		return wasLapsed || readBefore
+		return wasLapsed || alreadyApplied
 	}
 	s.servers[record.Key] = &server
 	logUpdated(&server, old)
@@ -154,7 +154,7 @@
 		return true
 	}
 	delete(s.servers, id)
-	klog.InfoS("removed a server", "server", id, "service", server.Service, "reason", "entry removed")
+	klog.InfoS("removed a server", "server", id, "service", server.Service, "reason", "record removed")
 	return true
 }
 
@@ -172,7 +172,7 @@
 		s.history.record(id, true, s.digest.ServersRevision)
 		s.compressed = compressedServers{}
 		removed = true
-		klog.InfoS("removed a server", "server", id, "reason", "entry did not come back after the store's outage")
+		klog.InfoS("removed a server", "server", id, "reason", "record was not published again after the store's outage")
 	}
 	return removed
 }
--- a/pkg/directory/servers_test.go
+++ b/pkg/directory/servers_test.go
@@ -37,8 +37,8 @@
 		state.applyServers(Batch{Records: records, Next: next}, true)
 	}
 
-	// Guards against a server that is used after it has reported that it is leaving, because the clock of its machine was ahead
-	// when it started before.
+	// Guards against a server that is used after it has reported that it is leaving, because its clock was ahead at its
+	// earlier start.
 	It("takes the records of a server that starts again with a lower start time", func() {
 		readAll(1, record(0, server(firstBorn, 40, false)))
 		read(2, record(1, server(secondBorn, 1, false)))
--- a/pkg/entryvm/fixture_test.go
+++ b/pkg/entryvm/fixture_test.go
@@ -56,7 +56,7 @@
 	runErr   error
 )
 
-// readiness returns the status of the health check, 0 if it is not answered.
+// readiness returns the status of the health check, 0 if there is no response.
 func readiness() int {
 	resp, err := http.Get("http://" + settings.Health + "/readyz")
 	if err != nil {
--- a/pkg/entryvm/stop_test.go
+++ b/pkg/entryvm/stop_test.go
@@ -75,11 +75,11 @@
 	// bodyDelay is the time after which the last byte of the body is sent.
 	bodyDelay      time.Duration
 	sentAt, endsAt time.Time
-	// status is 0 if the connection ended without an answer.
+	// status is 0 if the connection ended without a response.
 	status int
 }
 
-// send sends the order and reads the answer.
+// send sends the order and reads the response.
 func (o *order) send(c net.Conn) {
 	o.sentAt = time.Now()
 	_ = c.SetDeadline(o.sentAt.Add(o.wait + 2*time.Second))
@@ -120,8 +120,8 @@
 		Expect(time.Since(started)).To(BeNumerically("<", shutdownTimeout))
 	})
 
-	// Guards against requests that are cut off without an answer during a planned stop under load: connections that were accepted
-	// while the VM refused requests, or that waited in the queue of the listener, used to be closed at once.
+	// Guards against a planned stop under load that closes connections without a response: those accepted while the VM refuses
+	// requests, or those that wait in the queue of the listener.
 	It("answers each request on a connection that it accepts while it stops", func() {
 		const (
 			pause    = 5 * time.Millisecond
@@ -189,9 +189,9 @@
 		Eventually(stopped, settings.ShutdownTimeout).Should(BeClosed())
 	})
 
-	// Guards against an order that ran, or that was read, and gets no answer because the VM stops: at any time of the stop, with any work,
-	// body and time limit, also if its first server has refused it or the settings are reloaded. Only an order that was sent before the platform has detected
-	// the failing health checks, and still runs at the exit, may be cut off.
+	// Guards against an order that ran, or that was read, and gets no response because the VM stops: at any time of the stop, with
+	// any work, body and time limit, also if its first server has refused it or the settings are reloaded. Only an order that was
+	// sent before the platform has detected the failing health checks, and still runs at the exit, may be cut off.
 	It("answers the orders on open connections at any time of a stop", func() {
 		const (
 			orders   = 240
--- a/pkg/entryvm/vm.go
+++ b/pkg/entryvm/vm.go
@@ -167,8 +167,7 @@
 			Servers: do.MustInvoke[*upstream.Transport](i), Retries: do.MustInvoke[*retrybudget.Budgets](i),
 			Publish: do.MustInvoke[*loadshare.Sharer](i).Publish, Observe: v.observeRequest}), nil
 	})
-	options := peer.Options{ID: s.VM, Secret: s.deploymentKey()}
-	v.peerServer, v.peerPool = peer.NewServer(options), peer.NewPool(options)
+	v.initPeerRPC()
 	var err error
 	if v.gateway, err = do.Invoke[*gateway.Gateway](i); err != nil {
 		return nil, err
@@ -177,10 +176,16 @@
 	v.balancer = do.MustInvoke[*balance.Balancer](i)
 	v.prober = do.MustInvoke[*prober.Prober](i)
 	v.retryBudgets, v.follower = do.MustInvoke[*retrybudget.Budgets](i), do.MustInvoke[*directory.Follower](i)
+	return v, nil
+}
+
+// initPeerRPC creates the server and the connections for calls between entry VMs.
+func (v *vm) initPeerRPC() {
+	options := peer.Options{ID: v.settings.VM, Secret: v.settings.deploymentKey()}
+	v.peerServer, v.peerPool = peer.NewServer(options), peer.NewPool(options)
 	peer.Handle(v.peerServer, methodSnapshot, func(_ context.Context, versions directory.Versions) (directory.Snapshot, error) {
 		return v.state.Snapshot(versions), nil
 	})
-	return v, nil
 }
 
 // methodSnapshot is the RPC method that returns the part of a peer VM's state that is newer than the caller's.
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -120,11 +120,11 @@
 // namedBy reports whether a response names the request. No response names a request without an id.
 func (a *attempt) namedBy(head ResponseHead) bool { return a.id != "" && head.RequestID == a.id }
 
-// errUnavailable reports that a server has stated meanwhile that it wants no requests.
+// errUnavailable reports that a server has stated meanwhile that it is leaving or wants no requests.
 var errUnavailable = errors.New("the server states that it is not available")
 
-// checkBeforeWrite reports whether the request may still be sent. Opening a connection can take so long that the server has become
-// unavailable by a response to another request.
+// checkBeforeWrite returns an error if the request must no longer be sent: errUnavailable, or that of ctx. While a connection is
+// opened, the response to another request may state that the server is not available.
 func (a *attempt) checkBeforeWrite(ctx context.Context) error {
 	if a.gateway.Balancer.Availability(a.choice.Server, a.gateway.Clock.Now()) != balance.Available {
 		return errUnavailable
@@ -139,8 +139,9 @@
 	named := head.ServerID == a.choice.Server.ID
 	switch {
 	case a.namedBy(head) && (!head.Misdirected || named):
+		// The response is that of this server to this request, so that all of the statement counts.
 	case named:
-		s.RetryAfter = "" // The time from which on it counts is not known.
+		s.RetryAfter = "" // It is not known when the server sent the response.
 	default:
 		return
 	}
@@ -175,8 +176,7 @@
 	return sendCtx, func() { stop() }, func() { stop(); cancelSend() }
 }
 
-// classifyResponse returns the result for a response to this request. A success is relayed only if the server has
-// signed it.
+// classifyResponse returns the result for a response to this request. A success is relayed only if the server has signed it.
 func (a *attempt) classifyResponse(head ResponseHead) result {
 	status := a.resp.StatusCode()
 	switch {
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -63,8 +63,8 @@
 	g.endRequest(c, c.closeConnection || g.draining.Load())
 }
 
-// endRequest closes the connection or keeps it open. The request no longer counts as in flight once its response is written. A response
-// that is still being read from its server has to be written by the deadline of the request.
+// endRequest closes the connection or keeps it open. The request no longer counts as in flight once its response is written. A
+// streamed response has to be written by the deadline of the request and streamWriteMargin.
 func (g *Gateway) endRequest(c *call, closeConnection bool) {
 	conn, ok := c.ctx.Conn().(*ingress.Conn)
 	if ok && !c.requestFullyRead(conn) {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -86,7 +86,7 @@
 	g := &Gateway{Options: o,
 		availability: availability.Recorder{Clock: o.Clock, Balancer: o.Balancer, Servers: o.Servers, Publish: o.Publish},
 		watcher:      ingress.NewDisconnectWatcher(), estimates: newRouteEstimates(), startedAt: o.Clock.Now(),
-		buffers: bufferBudget{limit: maxBufferedResponses}}
+		buffers: bufferBudget{limit: bufferBudgetLimit}}
 	g.server = &fasthttp.Server{
 		Handler:                      g.handle,
 		NoDefaultServerHeader:        true,
--- a/pkg/gateway/hold_test.go
+++ b/pkg/gateway/hold_test.go
@@ -14,19 +14,20 @@
 	"github.com/hornbeamway/hornbeamway/pkg/retrybudget"
 )
 
-// holdRun plays a service of which half of the servers turn all requests away for a while and ask for a pause each time, without a
-// network. A request is sent to two servers at most, within the retry budget. Requests arrive at 1.2 times what all servers can run.
-type holdRun struct {
+// holdSimulation simulates, without a network, a service of which half of the servers refuse all requests for a while and
+// state a hold each time. A request is sent to two servers at most, within the retry budget. Requests arrive at holdLoad times what
+// all servers can run.
+type holdSimulation struct {
 	balancer *balance.Balancer
 	retries  *retrybudget.Budgets
 	random   *rand.Rand
 	now      time.Time
 	servers  []*directory.Server
-	// keepsHolds is false for a VM that ignores what the servers ask for.
+	// keepsHolds is false for a VM that ignores the holds.
 	keepsHolds bool
 	running    []heldRequest
-	// arrived and refused count the requests, turnedAway the ones that arrived at servers that turn them away, and inTime the timely
-	// answers of each second.
+	// arrived counts all requests, refused those that no server ran, turnedAway the attempts that a server has refused, and inTime
+	// the responses of each second that arrived within the objective.
 	arrived, refused, turnedAway int
 	inTime                       []int
 }
@@ -43,21 +44,26 @@
 	holdSlots     = 3
 	holdWork      = 100 * time.Millisecond
 	holdObjective = 300 * time.Millisecond
-	holdLoad      = 1.2
+	// holdLoad is the arrival rate as a multiple of what all servers can run.
+	holdLoad = 1.2
 	// holdRoundTrip is the time until a server's refusal arrives.
 	holdRoundTrip = 4 * time.Millisecond
 	// holdRetryShare is the share of requests that may be sent a second time.
 	holdRetryShare = 0.15
-	holdTime       = "0.5"
-	holdSeconds    = 8
+	// holdTime is the Retry-After of each refusal, in seconds.
+	holdTime = "0.5"
+	// holdSeconds is the simulated time.
+	holdSeconds = 8
 	// Half of the servers turn requests away from holdFrom until holdTo.
 	holdFrom = 2 * time.Second
 	holdTo   = 6 * time.Second
 )
 
-func playHoldRun(keepsHolds bool) *holdRun {
-	r := &holdRun{balancer: balance.New(balance.Location{DataCentre: "d", Region: "r"}, 1), random: rand.New(rand.NewPCG(2, 7)),
-		retries: retrybudget.New(holdRetryShare, 1), now: time.Unix(1_800_000_000, 0), keepsHolds: keepsHolds, inTime: make([]int, holdSeconds)}
+// simulateHolds runs the simulation to its end.
+func simulateHolds(keepsHolds bool) *holdSimulation {
+	r := &holdSimulation{balancer: balance.New(balance.Location{DataCentre: "d", Region: "r"}, 1), random: rand.New(rand.NewPCG(2, 7)),
+		retries: retrybudget.New(holdRetryShare, 1), now: time.Unix(1_800_000_000, 0), keepsHolds: keepsHolds,
+		inTime: make([]int, holdSeconds)}
 	for i := range holdServers {
 		r.servers = append(r.servers, &directory.Server{ID: fmt.Sprint("s", i), Service: "s", Address: fmt.Sprintf("10.0.0.%d:1", i),
 			DataCentre: "d", Region: "r", Slots: holdSlots})
@@ -84,7 +90,7 @@
 }
 
 // send sends a request that arrived at a time, unless no server is within its limits.
-func (r *holdRun) send(elapsed time.Duration, arrivedAt time.Time, sentTo []balance.ServerKey) {
+func (r *holdSimulation) send(elapsed time.Duration, arrivedAt time.Time, sentTo []balance.ServerKey) {
 	limits := newAdmission(holdWork, holdObjective, 0, time.Minute)
 	choice, ok := r.balancer.Pick(balance.Request{Service: "s", Work: holdWork, Objective: holdObjective, MaxLatency: limits.free,
 		MaxQueueLatency: limits.queued, Exclude: sentTo}, r.now)
@@ -110,7 +116,7 @@
 }
 
 // finish ends the requests whose time has come.
-func (r *holdRun) finish(elapsed time.Duration) {
+func (r *holdSimulation) finish(elapsed time.Duration) {
 	r.running = slices.DeleteFunc(r.running, func(request heldRequest) bool {
 		if request.end.After(r.now) {
 			return false
@@ -130,23 +136,23 @@
 	})
 }
 
-var _ = Describe("service of which half of the servers ask for a pause under 1.2 times its capacity", func() {
+var _ = Describe("service of which half of the servers state a hold under 1.2 times its capacity", func() {
 	// Guards against requests that go to the servers which turn them away, because these seem idle, and are then late or refused
 	// although the other half of the servers could have run them.
-	It("serves what the others can run, and leaves the former in peace", func() {
-		ignored, kept := playHoldRun(false), playHoldRun(true)
+	It("serves what the others can run, and sends few requests to the former", func() {
+		ignored, kept := simulateHolds(false), simulateHolds(true)
 		GinkgoWriter.Printf("worst second: %d ignoring, %d keeping holds; refused %d and %d of %d; turned away %d and %d\n",
 			slices.Min(ignored.inTime), slices.Min(kept.inTime), ignored.refused, kept.refused, kept.arrived, ignored.turnedAway,
 			kept.turnedAway)
 		Expect(slices.Min(kept.inTime)).To(BeNumerically(">", slices.Min(ignored.inTime)))
-		// What the servers could run at the very end of a pause is refused, too.
+		// What the servers could run at the very end of a hold is refused, too.
 		Expect(float64(kept.refused)).To(BeNumerically("<", 1.05*float64(ignored.refused)))
 		Expect(kept.turnedAway).To(BeNumerically("<", ignored.turnedAway/10))
 	})
 
-	// Guards against servers that stay without requests, or are flooded, once they take requests again.
-	It("serves as much as before within two seconds after the pause", func() {
-		kept := playHoldRun(true)
+	// Guards against servers that get no requests, or too many at once, after their last hold.
+	It("serves as much as before within two seconds after the last hold", func() {
+		kept := simulateHolds(true)
 		before, after := kept.inTime[1], kept.inTime[holdSeconds-1]
 		Expect(float64(after)).To(BeNumerically(">=", 0.9*float64(before)))
 	})
--- a/pkg/gateway/leaving_test.go
+++ b/pkg/gateway/leaving_test.go
@@ -51,8 +51,8 @@
 		Entry("requests that may run once", "/once/"),
 	)
 
-	// Guards against a statement of a server that is believed of another one: a response to another request, or of the server that
-	// has taken over the address.
+	// Guards against a statement that is attributed to another server than the one that made it: one in a response to another
+	// request, or of the server that has taken over the address.
 	DescribeTable("goes on sending to a server that has not stated it", func(respond func(*receivedRequest, net.Conn) bool) {
 		first, second := startBackend(respond), startBackend(respondCorrectly)
 		f := startGateway(first, second)
@@ -67,8 +67,8 @@
 		}),
 	)
 
-	// Guards against a statement that is missed because it stands in a late response, of which it is known that it is the server's.
-	It("believes a response to another request that names the server", func() {
+	// Guards against a statement that is ignored because it is in a late response, although the response names the server.
+	It("applies the statement of a response to another request that names the server", func() {
 		first := startBackend(func(r *receivedRequest, c net.Conn) bool {
 			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nId: other\r\nServer-Id: s0\r\nLeaving: 1\r\n\r\n")
 			return respondCorrectly(r, c)
@@ -177,8 +177,8 @@
 		Expect(seconds).To(BeNumerically("<=", objective.Seconds()))
 	})
 
-	// Guards against callers that come back before there is a server for them: the refusal used to name a tenth of the objective.
-	It("refuses at once, with a Retry-After that is true, when all servers are so", func() {
+	// Guards against callers that send a request again before a server is available, because the refusal names a shorter time.
+	It("refuses at once, with the time until the first hold ends, when all servers are held off", func() {
 		f := startGateway(startBackend(respondHoldingOff))
 		for _, id := range []string{"first", "second"} {
 			startedAt := time.Now()
--- a/pkg/gateway/ownership_test.go
+++ b/pkg/gateway/ownership_test.go
@@ -59,21 +59,21 @@
 // scriptedCall is one request with the ways in which its server and its caller end it.
 type scriptedCall struct {
 	path, end string
-	// leaveAfter is when the caller closes its connection at the latest; zero: after the response. leaveWithin is the number of bytes
-	// after which it closes it; zero: no limit.
-	leaveAfter  time.Duration
-	leaveWithin int64
+	// closeAfter is the time after which the caller closes its connection at the latest; zero: after the response.
+	closeAfter time.Duration
+	// closeAfterBytes is the number of bytes of the response after which it closes the connection; zero: no limit.
+	closeAfterBytes int64
 }
 
 var scriptedCalls = rapid.SliceOfN(rapid.Custom(func(t *rapid.T) scriptedCall {
 	s := scriptedCall{
-		path:        rapid.SampledFrom([]string{"/safe/", "/once/"}).Draw(t, "path"),
-		end:         rapid.SampledFrom(attemptEndNames()).Draw(t, "end"),
-		leaveAfter:  time.Duration(rapid.SampledFrom([]int{0, 0, 0, 1, 20, 100, 500}).Draw(t, "leaveAfterMs")) * time.Millisecond,
-		leaveWithin: rapid.SampledFrom([]int64{0, 0, 1, streamBody / 4, largeBody / 2}).Draw(t, "leaveWithin"),
+		path:            rapid.SampledFrom([]string{"/safe/", "/once/"}).Draw(t, "path"),
+		end:             rapid.SampledFrom(attemptEndNames()).Draw(t, "end"),
+		closeAfter:      time.Duration(rapid.SampledFrom([]int{0, 0, 0, 1, 20, 100, 500}).Draw(t, "closeAfterMs")) * time.Millisecond,
+		closeAfterBytes: rapid.SampledFrom([]int64{0, 0, 1, streamBody / 4, largeBody / 2}).Draw(t, "closeAfterBytes"),
 	}
-	if s.leaveWithin > 0 && s.leaveAfter == 0 {
-		s.leaveAfter = routeTimeout // The response may be shorter.
+	if s.closeAfterBytes > 0 && s.closeAfter == 0 {
+		s.closeAfter = routeTimeout // The response may be shorter.
 	}
 	return s
 }), 8, 16)
@@ -82,11 +82,11 @@
 	c := f.dial()
 	defer c.Close()
 	c.send("GET", s.path, id, nil)
-	if s.leaveAfter > 0 {
-		_ = c.SetReadDeadline(time.Now().Add(s.leaveAfter))
+	if s.closeAfter > 0 {
+		_ = c.SetReadDeadline(time.Now().Add(s.closeAfter))
 	}
-	if s.leaveWithin > 0 {
-		_, _ = io.CopyN(io.Discard, c, s.leaveWithin)
+	if s.closeAfterBytes > 0 {
+		_, _ = io.CopyN(io.Discard, c, s.closeAfterBytes)
 		return
 	}
 	_ = c.receive()
@@ -145,10 +145,10 @@
 
 // steadyValue returns the value of a gauge once earlier specs no longer change it.
 func steadyValue(g *metrics.Gauge) (value float64) {
-	const calm = 100 * time.Millisecond
+	const interval = 100 * time.Millisecond
 	Eventually(func() bool {
 		value = g.Get()
-		time.Sleep(calm)
+		time.Sleep(interval)
 		return g.Get() == value
 	}, "5s").Should(BeTrue())
 	return value
--- a/pkg/gateway/refusalcopy_test.go
+++ b/pkg/gateway/refusalcopy_test.go
@@ -76,15 +76,15 @@
 		Entry("to the server that has taken over the address", 421, directory.Server{ID: "successor"}),
 	)
 
-	// Guards against the same with a caller that sends a request again under its id.
+	// Guards against a request that runs although its caller was told that it had not, when the caller has sent it again under its id.
 	It("does not take the copy for the response to a request that the caller sends again", func() {
 		Expect(f.roundTrip("POST", "/once/", "order").StatusCode).To(Equal(503))
 		Expect(f.roundTrip("POST", "/once/", "order").StatusCode).To(Equal(200))
 		Expect(server.ran.Load()).To(BeEquivalentTo(1))
 	})
 
-	// Guards against a promise that rests on a response which names no request, such as the copy of a health check's refusal, if the
-	// request has no id either.
+	// Guards against a caller that is told that its request did not run because of a response which names no request, such as the
+	// copy of a health check's refusal, if the request has no id either.
 	It("does not take a refusal that names no request for that of a request without an id", func() {
 		b := startBackend(func(r *receivedRequest, c net.Conn) bool {
 			_, _ = io.WriteString(c, "HTTP/1.1 503 X\r\nContent-Length: 0\r\nNot-Run: 1\r\n\r\n")
--- a/pkg/gateway/responsebuffer.go
+++ b/pkg/gateway/responsebuffer.go
@@ -17,9 +17,9 @@
 	// maxBufferedResponse is the largest response, in bytes, that is read to its end before it is relayed, so that an invalid or
 	// incomplete one can be replaced by the response of another server.
 	maxBufferedResponse = 1 << 20
-	// maxBufferedResponses limits the bytes of all responses that are buffered at the same time. Beyond it responses are relayed
+	// bufferBudgetLimit is the memory, in bytes, of all responses that are buffered at the same time. Beyond it responses are relayed
 	// while they are read.
-	maxBufferedResponses = 16 << 20
+	bufferBudgetLimit = 16 << 20
 	// initialResponseBuffer is the first size, in bytes, of the buffer for a response of unknown length. It is doubled as needed.
 	initialResponseBuffer = 32 << 10
 )
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -74,10 +74,7 @@
 				c.writeResponse(r)
 				return nil
 			}
-			c.mayHaveRun = c.mayHaveRun || !r.notRun
-			if !r.mayHaveArrived {
-				c.unsent++
-			}
+			c.recordFailure(r)
 			if running > 0 {
 				continue
 			}
@@ -127,6 +124,14 @@
 	go func() { results <- a.run(ctx, superseded) }()
 }
 
+// recordFailure records whether the request of a failed attempt may have run, and whether a byte of it was sent.
+func (c *call) recordFailure(r result) {
+	c.mayHaveRun = c.mayHaveRun || !r.notRun
+	if !r.mayHaveArrived {
+		c.unsent++
+	}
+}
+
 // attemptLeft reports whether the route allows another attempt. Attempts of which no byte was sent do not count, up to
 // maxUnsentAttempts.
 func (c *call) attemptLeft() bool {
--- a/pkg/gateway/stop_test.go
+++ b/pkg/gateway/stop_test.go
@@ -75,8 +75,8 @@
 		Eventually(f.Connections).Should(BeZero())
 	})
 
-	// Guards against a process that ends while a response is being sent over a slow link: a request was no longer counted as in
-	// flight once its response had been passed to fasthttp.
+	// Guards against a process that ends while a response is being sent over a slow link, because the request no longer counts
+	// as in flight once fasthttp has its response.
 	It("counts a request as in flight until its response is written", func() {
 		large := strings.Repeat("x", 900<<10)
 		b := startBackend(func(r *receivedRequest, c net.Conn) bool { return writeResponse(c, r, 200, large, "Proof: p") })
--- a/pkg/ingress/accept.go
+++ b/pkg/ingress/accept.go
@@ -36,7 +36,7 @@
 }
 
 // isTemporary reports whether an error of accept(2) leaves the listener usable: the process or the system lacks resources, or the
-// connection failed before it was accepted.
+// connection failed, or was forbidden by a firewall rule (EPERM), before it was accepted.
 func isTemporary(err error) bool {
 	return errors.IsAny(err, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EINTR, syscall.ECONNABORTED,
 		syscall.ECONNRESET, syscall.EPROTO, syscall.EPERM, syscall.ENETDOWN, syscall.ENETUNREACH, syscall.EHOSTDOWN, syscall.EHOSTUNREACH)
--- a/pkg/loadshare/message.go
+++ b/pkg/loadshare/message.go
@@ -260,6 +260,7 @@
 	}
 }
 
+// decodeLeaving decodes the keys of the servers that are leaving and marks their events.
 func decodeLeaving(d *decoder, m *message) {
 	for range d.length(msgp.ReadArrayHeaderBytes) {
 		key := balance.ServerKey(decodeNext(d, msgp.ReadUint64Bytes))
--- a/pkg/loadshare/sharer.go
+++ b/pkg/loadshare/sharer.go
@@ -102,8 +102,8 @@
 // Publish sends an event to the VMs of the group. It never blocks.
 func (s *Sharer) Publish(e Event) { enqueue(s.events, e) }
 
-// PublishLoadReport sends a load report that a probe has obtained to the VMs of the group. The report may wait for
-// reportBatchDelay, so that several share a datagram. PublishLoadReport never blocks.
+// PublishLoadReport sends what a probe has obtained, a load report or the statement that the server is leaving, to the VMs of the
+// group. The event may wait for reportBatchDelay, so that several share a datagram. PublishLoadReport never blocks.
 func (s *Sharer) PublishLoadReport(e Event) { enqueue(s.reports, e) }
 
 func enqueue(queue chan Event, e Event) {
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -74,8 +74,8 @@
 		s.mu.Unlock()
 		return errors.CombineErrors(ErrClosed, l.Close())
 	}
-	s.listener = ingress.RetryAccept(l)
-	l = s.listener
+	l = ingress.RetryAccept(l)
+	s.listener = l
 	s.mu.Unlock()
 	for {
 		raw, err := l.Accept()
--- a/pkg/prober/prober.go
+++ b/pkg/prober/prober.go
@@ -69,7 +69,7 @@
 	Transport *upstream.Transport
 	// Assignment returns the rule by which this VM is the one that probes a server, as of now.
 	Assignment func() func(s *directory.Server) bool
-	// Publish shares a load report with the other entry VMs.
+	// Publish sends a load report, or that a server is leaving, to the other entry VMs.
 	Publish func(loadshare.Event)
 }
 
@@ -211,7 +211,7 @@
 	}
 	if head.ServerID != s.ID || head.LoadReport == nil {
 		probeFailures.Inc()
-		klog.InfoS("probe response has no load report of the probed server", "server", s.ID, "answeredBy", head.ServerID,
+		klog.InfoS("probe response has no load report of the probed server", "server", s.ID, "respondedBy", head.ServerID,
 			"status", resp.StatusCode())
 		p.pauseUntil(key, now.Add(failurePause))
 		return
--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -165,10 +165,10 @@
 			return nil
 		}
 		if discarded++; discarded > maxStaleResponses {
-			return errors.New("too many answers of earlier requests")
+			return errors.Newf("more than %d responses to earlier requests", maxStaleResponses)
 		}
 		if err := x.discardStaleResponse(); err != nil {
-			return errors.Wrap(err, "skip the answer of an earlier request")
+			return errors.Wrap(err, "skip the response to an earlier request")
 		}
 	}
 }
@@ -200,9 +200,9 @@
 	case statusWithoutBody(x.resp.StatusCode()):
 		return nil
 	case length == identityBody:
-		return errors.New("the answer has no end")
+		return errors.New("the response states neither a length nor chunks")
 	case length > maxStaleBody:
-		return fasthttp.ErrBodyTooLarge
+		return errors.Wrapf(fasthttp.ErrBodyTooLarge, "%d bytes, limit %d", length, maxStaleBody)
 	}
 	x.resp.StreamBody = true
 	if err := x.resp.ReadBody(x.conn.reader, 0); err != nil {
@@ -210,7 +210,7 @@
 	}
 	switch _, err := io.CopyN(io.Discard, x.resp.BodyStream(), maxStaleBody+1); {
 	case err == nil:
-		return fasthttp.ErrBodyTooLarge
+		return errors.Wrapf(fasthttp.ErrBodyTooLarge, "limit %d bytes", maxStaleBody)
 	case !errors.Is(err, io.EOF):
 		return err
 	}
@@ -230,7 +230,7 @@
 			return nil
 		}
 	}
-	return errors.New("too many interim answers")
+	return errors.Newf("%d interim responses and no final one", maxInterimResponses)
 }
 
 func (x *exchange) readBody(ctx context.Context) error {
@@ -273,7 +273,7 @@
 
 // releaseConn returns the connection to the idle connections, or closes it if it cannot be reused after this response.
 func (x *exchange) releaseConn() {
-	// A late copy of the response to a HEAD request has a length and no body: the next response could not be found behind it.
+	// A late copy of the response to a HEAD request states a length but has no body, so that its end could not be told.
 	if x.conn.noReuse || x.req.Header.IsHead() || x.resp.Header.ConnectionClose() || x.resp.Header.ContentLength() == identityBody {
 		x.conn.host.discard(x.conn)
 		return
--- a/pkg/upstream/foreign_test.go
+++ b/pkg/upstream/foreign_test.go
@@ -23,7 +23,7 @@
 		maxHeap      = 48 << 20
 		foreignBytes = 4 << 20
 		foreignHead  = "HTTP/1.1 200 OK\r\nId: other\r\n"
-		ownAnswer    = "HTTP/1.1 200 OK\r\nId: own\r\nContent-Length: 3\r\n\r\nown"
+		ownResponse  = "HTTP/1.1 200 OK\r\nId: own\r\nContent-Length: 3\r\n\r\nown"
 	)
 	BeforeEach(func() {
 		// The second collection frees the buffers that earlier specs left in pools.
@@ -55,7 +55,7 @@
 			Deadline: time.Now().Add(timeout), Classify: classify}, request("GET", "/"), resp)
 	}
 
-	// Guards against memory that grows with the number of requests to a server whose answers belong to none of them.
+	// Guards against memory that grows with the number of requests to a server whose responses belong to none of them.
 	DescribeTable("bounds its memory over many requests at once", func(head, piece string) {
 		s := floodingServer(foreignHead+head, piece)
 		transport := upstream.NewTransport(upstream.Options{})
@@ -76,10 +76,10 @@
 		Entry("a body without a length", "\r\n", strings.Repeat("x", 32<<10)),
 	)
 
-	// Guards against a request that fails although its own answer follows the foreign one that is skipped.
-	DescribeTable("returns the own answer after a foreign one", func(foreign string) {
+	// Guards against a request that fails although its own response follows the foreign one that is skipped.
+	DescribeTable("returns the own response after a foreign one", func(foreign string) {
 		s := serve(func(_ int, _ string, c net.Conn) bool {
-			_, err := io.WriteString(c, foreignHead+foreign+ownAnswer)
+			_, err := io.WriteString(c, foreignHead+foreign+ownResponse)
 			return err == nil
 		})
 		resp := &fasthttp.Response{}
--- a/pkg/upstream/ownership_test.go
+++ b/pkg/upstream/ownership_test.go
@@ -174,10 +174,10 @@
 
 // steadyValue returns the value of a gauge once earlier specs no longer change it.
 func steadyValue(g *metrics.Gauge) (value float64) {
-	const calm = 100 * time.Millisecond
+	const interval = 100 * time.Millisecond
 	Eventually(func() bool {
 		value = g.Get()
-		time.Sleep(calm)
+		time.Sleep(interval)
 		return g.Get() == value
 	}, "5s").Should(BeTrue())
 	return value
