--- a/pkg/balance/availability.go
+++ b/pkg/balance/availability.go
@@ -77,9 +77,12 @@
 	heldUntil        time.Time
 }
 
-// appliesTo reports whether the statement is that of a listed start of the server. A statement does not say which start it comes from:
-// the server may have started again without this VM knowing. A start that is not later than the statement is therefore taken for
-// that of the statement, for as long as this may be so.
+// appliesTo reports whether the statement is that of a listed start of the server. A statement does not say which start it comes from,
+// and the server may have started again without this VM knowing:
+//   - the start that this VM knew when it heard the statement: yes;
+//   - another start, from before the statement: yes for otherStartTTL, as it may be the one that made the statement;
+//   - a record without a start time: the same;
+//   - a start from after the statement: no.
 func (a *availability) appliesTo(incarnation int64, now time.Time) bool {
 	if incarnation == a.incarnation && incarnation != 0 {
 		return true
--- a/pkg/entryvm/vm.go
+++ b/pkg/entryvm/vm.go
@@ -245,7 +245,7 @@
 func (v *vm) run(ctx context.Context) error {
 	s := v.settings
 	klog.InfoS("starting entry VM", "vm", s.VM, "dataCentre", s.DataCentre, "region", s.Region, "callers", s.Callers, "peer", s.Peer,
-		"store", s.Store, "seeds", strings.Join(s.Seeds, ","))
+		"store", s.Store, "seeds", strings.Join(s.Seeds, ","), "memoryLimit", s.MemoryLimit)
 	serving, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	v.sharer.AddPeers(s.Seeds)
