ingress: a stop leaves connections alone that were just accepted

Callers: of some 500 requests during a planned stop one got no answer; its connection was closed. Cause: Stop marked every open connection as stopped, also one that had been accepted and whose first read had not begun; that read then returned the end of the stream, and the request that the caller had sent was reset. Fix: a connection that has not yet waited for a request is left alone, like those accepted after Stop; its response closes it.

--- a/pkg/ingress/conn.go
+++ b/pkg/ingress/conn.go
@@ -38,6 +38,7 @@
 	responseDeadline time.Time
 
 	mu              sync.Mutex
+	hasWaited       bool // has waited for a request
 	awaitingRequest bool // waiting for the first byte of a request
 	servingRequest  bool // from that byte to the last byte of the response
 	stopped         bool
@@ -104,7 +105,7 @@
 	c.responseDeadline = time.Time{}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.awaitingRequest, c.servingRequest = true, false
+	c.hasWaited, c.awaitingRequest, c.servingRequest = true, true, false
 	return !c.stopped
 }
 
@@ -120,10 +121,14 @@
 // stopGrace is the time in which a request that has already arrived is still read from a connection that is stopped.
 const stopGrace = 20 * time.Millisecond
 
-// stop ends the connection after stopGrace if it waits for a request, otherwise after the current request.
+// stop ends the connection after stopGrace if it waits for a request, otherwise after the current request. A connection that has just
+// been accepted is left alone, like those accepted later: its caller may already have sent a request.
 func (c *Conn) stop() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if !c.hasWaited {
+		return
+	}
 	c.stopped = true
 	if c.awaitingRequest {
 		_ = c.SetReadDeadline(time.Now().Add(stopGrace))
--- a/pkg/ingress/export_test.go
+++ b/pkg/ingress/export_test.go
@@ -11,3 +11,6 @@
 	}
 	return end
 }
+
+// ListenerForTest returns the listener that has accepted the connection.
+func (c *Conn) ListenerForTest() *Listener { return c.listener }
