--- a/internal/lab/bench/scenariorun.go
+++ b/internal/lab/bench/scenariorun.go
@@ -10,6 +10,7 @@
 
 	"github.com/hornbeamway/hornbeamway/internal/lab/cluster"
 	"github.com/hornbeamway/hornbeamway/internal/lab/load"
+	"github.com/hornbeamway/hornbeamway/internal/lab/pause"
 )
 
 // MeasureScenarios runs the scenarios named in only, or all if it is empty, each on a new system. A scenario that fails does not
@@ -72,8 +73,8 @@
 // measureScenario takes snapshots of the counters at the start and the end of the measured time, and compares the outcomes that
 // the callers received with the journals of the backend servers.
 func (o *Options) measureScenario(e *environment, d scenarioDefinition) (*Scenario, error) {
-	if err := sleep(e.ctx, o.WarmUp); err != nil {
-		return nil, err
+	if !pause.Sleep(e.ctx, o.WarmUp) {
+		return nil, e.ctx.Err()
 	}
 	start := time.Now()
 	before, err := takeSnapshot(e.cluster)
@@ -106,15 +107,3 @@
 	r.setCounters(e.cluster, before, after)
 	return r, nil
 }
-
-// sleep waits for d. It returns the error of ctx if ctx ends first.
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/lab/chaos/attempt.go
+++ b/internal/lab/chaos/attempt.go
@@ -1,10 +1,8 @@
 package chaos
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net"
 	"strconv"
@@ -144,7 +142,7 @@
 }
 
 func (a *attempt) classifyProblem(resp *fasthttp.Response) {
-	body, err := readAll(resp)
+	body, err := load.ReadBody(resp)
 	if err != nil {
 		a.setLost(err)
 		return
@@ -169,7 +167,7 @@
 	if r.size > 0 {
 		return r.checkPattern(resp)
 	}
-	body, err := readAll(resp)
+	body, err := load.ReadBody(resp)
 	if err != nil {
 		return err
 	}
@@ -190,17 +188,7 @@
 	return nil
 }
 
-func readAll(resp *fasthttp.Response) ([]byte, error) {
-	if stream := resp.BodyStream(); stream != nil {
-		return io.ReadAll(stream)
-	}
-	return resp.Body(), nil
-}
-
 // checkPattern compares a body with the stand-in's pattern while it is being received.
 func (r *request) checkPattern(resp *fasthttp.Response) error {
-	if stream := resp.BodyStream(); stream != nil {
-		return backend.CheckPattern(stream, r.size)
-	}
-	return backend.CheckPattern(bytes.NewReader(resp.Body()), r.size)
+	return backend.CheckPattern(load.BodyReader(resp), r.size)
 }
--- a/internal/lab/chaos/chaos.go
+++ b/internal/lab/chaos/chaos.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/hornbeamway/hornbeamway/internal/lab/cluster"
+	"github.com/hornbeamway/hornbeamway/internal/lab/pause"
 )
 
 // ErrViolation reports that the system violated a guarantee.
@@ -121,7 +122,7 @@
 	background.Go(func() { h.monitor(monitorCtx) })
 	h.startedAt = time.Now()
 	traffic.Go(func() { h.generateLoad(loadCtx) })
-	sleep(ctx, warmUp)
+	pause.Sleep(ctx, warmUp)
 
 	operatorsCtx, stopOperators := context.WithTimeout(ctx, h.Duration)
 	var operators sync.WaitGroup
@@ -130,7 +131,7 @@
 	stopOperators()
 	operators.Wait()
 	h.recover(ctx)
-	sleep(ctx, faultFreeTime)
+	pause.Sleep(ctx, faultFreeTime)
 
 	stopLoad()
 	traffic.Wait()
@@ -155,11 +156,3 @@
 	}
 	h.addEvent("all faults ended, all VMs ready after %v", time.Since(start).Round(time.Millisecond))
 }
-
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/internal/lab/chaos/faults.go
+++ b/internal/lab/chaos/faults.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/hornbeamway/hornbeamway/internal/lab/cluster"
+	"github.com/hornbeamway/hornbeamway/internal/lab/pause"
 	"github.com/hornbeamway/hornbeamway/pkg/vmlist"
 )
 
@@ -24,7 +25,7 @@
 	start := time.Now()
 	var group sync.WaitGroup
 	for _, f := range schedule {
-		sleep(ctx, time.Until(start.Add(f.At)))
+		pause.Sleep(ctx, time.Until(start.Add(f.At)))
 		if ctx.Err() != nil {
 			break
 		}
@@ -89,13 +90,13 @@
 	switch name {
 	case "kill":
 		vm.Kill()
-		sleep(ctx, f.Duration)
+		pause.Sleep(ctx, f.Duration)
 		return vm.Restart(ctx)
 	case "pause":
 		if err := vm.Process().Pause(); err != nil {
 			return err
 		}
-		sleep(ctx, f.Duration)
+		pause.Sleep(ctx, f.Duration)
 		err := vm.Process().Resume()
 		h.addEvent("%s was resumed", vm.ID)
 		return err
@@ -141,7 +142,7 @@
 	if off == nil {
 		return nil
 	}
-	sleep(ctx, f.Duration)
+	pause.Sleep(ctx, f.Duration)
 	h.addEvent("%s %s ends", f.Name, target)
 	return s.SetFaults(off)
 }
@@ -236,7 +237,7 @@
 	if err := s.Drain(int64(f.Target)); err != nil {
 		return err
 	}
-	sleep(ctx, f.Duration)
+	pause.Sleep(ctx, f.Duration)
 	return s.Undrain()
 }
 
--- a/internal/lab/chaos/front.go
+++ b/internal/lab/chaos/front.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/hornbeamway/hornbeamway/internal/lab/cluster"
+	"github.com/hornbeamway/hornbeamway/internal/lab/pause"
 )
 
 const (
@@ -101,7 +102,7 @@
 			group.Go(e.checkHealth)
 		}
 		group.Wait()
-		sleep(ctx, checkInterval)
+		pause.Sleep(ctx, checkInterval)
 	}
 }
 
--- a/internal/lab/chaos/load.go
+++ b/internal/lab/chaos/load.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/hornbeamway/hornbeamway/internal/lab/load"
+	"github.com/hornbeamway/hornbeamway/internal/lab/pause"
 	"github.com/hornbeamway/hornbeamway/pkg/priority"
 )
 
@@ -78,7 +79,7 @@
 		random := h.newRandom(uint64(100 + i))
 		group.Go(func() {
 			for n := 0; ctx.Err() == nil; n++ {
-				sleep(ctx, time.Duration(random.ExpFloat64()/kind.rate*float64(time.Second)))
+				pause.Sleep(ctx, time.Duration(random.ExpFloat64()/kind.rate*float64(time.Second)))
 				requestRandom := rand.New(rand.NewPCG(random.Uint64(), random.Uint64()))
 				nonce := fmt.Sprintf("n%d-%d", i, n)
 				select {
@@ -132,7 +133,7 @@
 			return
 		}
 		avoidRegion = a.region
-		sleep(ctx, time.Duration((0.5+random.Float64())*float64(delay)))
+		pause.Sleep(ctx, time.Duration((0.5+random.Float64())*float64(delay)))
 		delay = min(2*delay, maxRetryDelay)
 	}
 }
@@ -170,7 +171,7 @@
 	var response struct {
 		Tickets []string `json:"tickets"`
 	}
-	body, err := readAll(resp)
+	body, err := load.ReadBody(resp)
 	if err != nil || json.Unmarshal(body, &response) != nil || len(response.Tickets) == 0 {
 		return ""
 	}
@@ -191,14 +192,14 @@
 	if random.Float64() < overlapShare {
 		overlapRandom := rand.New(rand.NewPCG(random.Uint64(), random.Uint64()))
 		overlap.Go(func() {
-			sleep(ctx, time.Duration(overlapRandom.Int64N(int64(maxOverlapDelay))))
+			pause.Sleep(ctx, time.Duration(overlapRandom.Int64N(int64(maxOverlapDelay))))
 			a := h.balancer.sendAttempt(overlapRandom, req, 1000, "")
 			overlapping = &a
 		})
 	}
 	h.sendUntilAnswered(ctx, random, rec, operationAttempts)
 	if random.Float64() < repeatShare {
-		sleep(ctx, time.Duration(random.Int64N(int64(maxRepeatDelay))))
+		pause.Sleep(ctx, time.Duration(random.Int64N(int64(maxRepeatDelay))))
 		rec.Attempts = append(rec.Attempts, h.balancer.sendAttempt(random, req, len(rec.Attempts),
 			rec.Attempts[len(rec.Attempts)-1].region))
 	}
--- a/internal/lab/chaos/monitor.go
+++ b/internal/lab/chaos/monitor.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/hornbeamway/hornbeamway/internal/lab/cluster"
+	"github.com/hornbeamway/hornbeamway/internal/lab/pause"
 	"github.com/hornbeamway/hornbeamway/pkg/admin"
 )
 
@@ -47,7 +48,7 @@
 				group.Go(func() { h.monitorVM(ctx, vm) })
 			}
 		}
-		sleep(ctx, monitorInterval)
+		pause.Sleep(ctx, monitorInterval)
 	}
 	group.Wait()
 }
@@ -58,7 +59,7 @@
 	var process *cluster.Process
 	highest := int64(-1)
 	for ctx.Err() == nil && h.cluster.VM(vm.ID) == vm {
-		sleep(ctx, monitorInterval)
+		pause.Sleep(ctx, monitorInterval)
 		if p := vm.Process(); p != process {
 			process, highest = p, -1
 		}
--- a/internal/lab/chaos/operators.go
+++ b/internal/lab/chaos/operators.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/hornbeamway/hornbeamway/internal/lab/cluster"
+	"github.com/hornbeamway/hornbeamway/internal/lab/pause"
 	"github.com/hornbeamway/hornbeamway/pkg/admin"
 	"github.com/hornbeamway/hornbeamway/pkg/preset"
 	"github.com/hornbeamway/hornbeamway/pkg/unit"
@@ -40,7 +41,7 @@
 	random := h.newRandom(7)
 	number := 0
 	for ctx.Err() == nil {
-		sleep(ctx, time.Duration(random.Int64N(int64(maxProposalInterval))))
+		pause.Sleep(ctx, time.Duration(random.Int64N(int64(maxProposalInterval))))
 		if ctx.Err() != nil {
 			return
 		}
@@ -53,7 +54,7 @@
 			h.propose(a, number)
 		default:
 			if prop := h.propose(a, number); prop != nil {
-				sleep(ctx, time.Duration(random.Int64N(int64(3*time.Second))))
+				pause.Sleep(ctx, time.Duration(random.Int64N(int64(3*time.Second))))
 				h.veto(h.anyVM(random), prop)
 			}
 		}
--- a/internal/lab/control/control.go
+++ b/internal/lab/control/control.go
@@ -18,6 +18,7 @@
 
 	"github.com/hornbeamway/hornbeamway/internal/lab/cluster"
 	"github.com/hornbeamway/hornbeamway/internal/lab/load"
+	"github.com/hornbeamway/hornbeamway/internal/lab/pause"
 	"github.com/hornbeamway/hornbeamway/pkg/priority"
 )
 
@@ -83,8 +84,8 @@
 		return Sample{}, err
 	}
 	defer c.Close()
-	if err := sleep(ctx, o.Settle); err != nil {
-		return Sample{}, err
+	if !pause.Sleep(ctx, o.Settle) {
+		return Sample{}, ctx.Err()
 	}
 	before, err := scrapeVMs(c)
 	if err != nil {
@@ -117,7 +118,10 @@
 // runLoad waits for the measured time, with a load if o.Rate is positive, and returns the number of answered calls.
 func runLoad(ctx context.Context, o Options, addresses []string) (answered int64, err error) {
 	if o.Rate <= 0 {
-		return 0, sleep(ctx, o.Duration)
+		if !pause.Sleep(ctx, o.Duration) {
+			return 0, ctx.Err()
+		}
+		return 0, nil
 	}
 	report, err := load.Run(ctx, load.Options{
 		Targets: lo.Map(addresses, func(address string, _ int) load.Target { return load.Target{Address: address} }),
@@ -131,15 +135,6 @@
 	return int64(report.Streams[0].Completed * float64(report.Streams[0].Requests)), ctx.Err()
 }
 
-func sleep(ctx context.Context, d time.Duration) error {
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-time.After(d):
-		return nil
-	}
-}
-
 // scrape holds the metrics of one VM at one time.
 type scrape struct {
 	at                      time.Time
--- a/internal/lab/demo/demo.go
+++ b/internal/lab/demo/demo.go
@@ -13,6 +13,7 @@
 
 	"github.com/hornbeamway/hornbeamway/internal/lab/cluster"
 	"github.com/hornbeamway/hornbeamway/internal/lab/load"
+	"github.com/hornbeamway/hornbeamway/internal/lab/pause"
 	"github.com/hornbeamway/hornbeamway/pkg/admin"
 	"github.com/hornbeamway/hornbeamway/pkg/preset"
 )
@@ -227,14 +228,14 @@
 	if err := server.Drain(maxDrainDelay.Milliseconds()); err != nil {
 		return err
 	}
-	if !sleep(d.ctx, maxDrainDelay+200*time.Millisecond) {
+	if !pause.Sleep(d.ctx, maxDrainDelay+200*time.Millisecond) {
 		return d.ctx.Err()
 	}
 	before, err := server.Stats()
 	if err != nil {
 		return err
 	}
-	if !sleep(d.ctx, 2*time.Second) {
+	if !pause.Sleep(d.ctx, 2*time.Second) {
 		return d.ctx.Err()
 	}
 	after, err := server.Stats()
@@ -250,18 +251,6 @@
 	return nil
 }
 
-// sleep waits for d. It returns false if ctx ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // checkReport prints the results of the traffic and checks them for violations.
 func (d *demo) checkReport(report *load.Report) error {
 	d.printf("\nlatency from the intended send time over %v, seed %d, on a shared machine\n", report.Duration, report.Seed)
--- a/internal/lab/load/call.go
+++ b/internal/lab/load/call.go
@@ -127,7 +127,7 @@
 
 func classifyProblem(resp *fasthttp.Response, status int) result {
 	var p problem.Problem
-	body, err := readAll(resp)
+	body, err := ReadBody(resp)
 	if err != nil {
 		return lostResult(err)
 	}
@@ -154,7 +154,7 @@
 	if c.stream.hasPatternBody() {
 		return serverID, c.verifyPattern(resp)
 	}
-	body, err := readAll(resp)
+	body, err := ReadBody(resp)
 	if err != nil {
 		return "", err
 	}
@@ -172,7 +172,8 @@
 	return serverID + " " + strconv.FormatUint(xxhash.Sum64(body), 16), nil
 }
 
-func readAll(resp *fasthttp.Response) ([]byte, error) {
+// ReadBody returns the body of a response, which may be a stream.
+func ReadBody(resp *fasthttp.Response) ([]byte, error) {
 	if stream := resp.BodyStream(); stream != nil {
 		return io.ReadAll(stream)
 	}
@@ -185,10 +186,11 @@
 	if err != nil {
 		return errors.Mark(err, ErrOptions)
 	}
-	return backend.CheckPattern(bodyReader(resp), size)
+	return backend.CheckPattern(BodyReader(resp), size)
 }
 
-func bodyReader(resp *fasthttp.Response) io.Reader {
+// BodyReader returns a reader of the body of a response, which may be a stream.
+func BodyReader(resp *fasthttp.Response) io.Reader {
 	if stream := resp.BodyStream(); stream != nil {
 		return stream
 	}
--- a/internal/lab/load/order.go
+++ b/internal/lab/load/order.go
@@ -91,7 +91,7 @@
 	var response struct {
 		Tickets []string `json:"tickets"`
 	}
-	body, err := readAll(resp)
+	body, err := ReadBody(resp)
 	if err != nil || resp.StatusCode() != fasthttp.StatusOK || json.Unmarshal(body, &response) != nil {
 		return nil
 	}
--- a/internal/lab/soak/callers.go
+++ b/internal/lab/soak/callers.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/hornbeamway/hornbeamway/internal/lab/pause"
 	"github.com/hornbeamway/hornbeamway/internal/standin/platformserver"
 )
 
@@ -43,10 +44,7 @@
 		for i, v := range b.vms {
 			go b.check(i, v)
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(time.Second):
-		}
+		pause.Sleep(ctx, time.Second)
 	}
 }
 
@@ -108,10 +106,7 @@
 			_ = c.conn.Close()
 			c.conn = nil
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(rand.N(2 * currentThinkTime())):
-		}
+		pause.Sleep(ctx, rand.N(2*currentThinkTime()))
 	}
 	if c.conn != nil {
 		_ = c.conn.Close()
--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/hornbeamway/hornbeamway/internal/lab/cluster"
+	"github.com/hornbeamway/hornbeamway/internal/lab/pause"
 	"github.com/hornbeamway/hornbeamway/internal/standin/logservice"
 	"github.com/hornbeamway/hornbeamway/internal/standin/platformserver"
 )
@@ -26,7 +27,7 @@
 		if end, ok := h.acquireVM(v); ok {
 			defer end()
 			v.currentProcess().Kill()
-			sleep(ctx, 200*time.Millisecond)
+			pause.Sleep(ctx, 200*time.Millisecond)
 			h.restartVM(v)
 		}
 	}},
@@ -41,14 +42,14 @@
 				defer h.restartVM(v)
 			}
 		}
-		sleep(ctx, time.Second)
+		pause.Sleep(ctx, time.Second)
 	}},
 	{"vm.pause", func(ctx context.Context, h *harness, draw int) {
 		v := h.vms[draw%len(h.vms)]
 		if end, ok := h.acquireVM(v); ok {
 			defer end()
 			_ = v.currentProcess().Pause()
-			sleep(ctx, 2500*time.Millisecond)
+			pause.Sleep(ctx, 2500*time.Millisecond)
 			_ = v.currentProcess().Resume()
 			v.release()
 		}
@@ -68,7 +69,7 @@
 			defer end()
 			// The process may already have exited when it is killed.
 			_ = v.currentProcess().Terminate()
-			sleep(ctx, time.Duration(draw/victimRange%4)*time.Second)
+			pause.Sleep(ctx, time.Duration(draw/victimRange%4)*time.Second)
 			v.currentProcess().Kill()
 			h.restartVM(v)
 		}
@@ -79,7 +80,7 @@
 			defer end()
 			p := v.currentProcess()
 			_, _ = p.Pause(), p.Terminate()
-			sleep(ctx, time.Second)
+			pause.Sleep(ctx, time.Second)
 			_ = p.Resume()
 			exitCtx, cancel := context.WithTimeout(ctx, stopSeconds*time.Second)
 			defer cancel()
@@ -135,7 +136,7 @@
 		s.SetFaults([]platformserver.Faults{{Slowdown: 5}, {DropResponse: 0.3}, {TruncateResponse: 0.3}, {DuplicateResponse: 0.3},
 			{Unsigned: 0.3}, {Failed: 0.5}, {RefuseBeforeBody: 0.5}, {Hang: true}, {Refuse: 0.3, DuplicateRefusal: 0.5},
 			{TruncateHead: 0.3}}[draw/victimRange%10])
-		sleep(ctx, 3*time.Second)
+		pause.Sleep(ctx, 3*time.Second)
 		s.SetFaults(platformserver.Faults{})
 	}},
 	{"server.link", func(ctx context.Context, h *harness, draw int) {
@@ -145,7 +146,7 @@
 		}
 		defer h.checker.beginDisturbance(s.ID)()
 		s.proxy.setMode([]mode{dropAll, dropResponses, delay, forward}[draw/victimRange%4])
-		sleep(ctx, 2*time.Second)
+		pause.Sleep(ctx, 2*time.Second)
 		s.proxy.setMode(forward)
 		s.proxy.reset()
 	}},
@@ -156,7 +157,7 @@
 				s.proxy.reset()
 				h.checker.beginDisturbance(s.ID)()
 			}
-			sleep(ctx, 300*time.Millisecond)
+			pause.Sleep(ctx, 300*time.Millisecond)
 		}
 	}},
 	{"server.flap", func(ctx context.Context, h *harness, draw int) {
@@ -168,9 +169,9 @@
 		for range 3 {
 			s.proxy.setMode(refuse)
 			s.proxy.reset()
-			sleep(ctx, 500*time.Millisecond)
+			pause.Sleep(ctx, 500*time.Millisecond)
 			s.proxy.setMode(forward)
-			sleep(ctx, 500*time.Millisecond)
+			pause.Sleep(ctx, 500*time.Millisecond)
 		}
 	}},
 	{"server.reuse", func(ctx context.Context, h *harness, draw int) { h.reuseAddress(ctx, draw) }},
@@ -192,18 +193,11 @@
 			h.routeServices[route] = 1 - h.routeServices[route]
 			h.mu.Unlock()
 			h.publishConfig()
-			sleep(ctx, 200*time.Millisecond)
+			pause.Sleep(ctx, 200*time.Millisecond)
 		}
 	}},
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // acquireVM reserves a running VM for one fault and records it as disturbed until end is called.
 func (h *harness) acquireVM(v *vm) (end func(), ok bool) {
 	if !v.tryAcquire() {
@@ -267,7 +261,7 @@
 		defer h.checker.beginDisturbance(storeLink(v.name))()
 		v.store.setMode(m)
 	}
-	sleep(ctx, d)
+	pause.Sleep(ctx, d)
 	for _, v := range vms {
 		v.store.setMode(forward)
 		v.store.reset()
@@ -277,7 +271,7 @@
 func (h *harness) injectStoreFault(ctx context.Context, f logservice.Faults, d time.Duration) {
 	defer h.checker.beginDisturbance(allVMs)()
 	if h.store.SetFaults(f) == nil {
-		sleep(ctx, d)
+		pause.Sleep(ctx, d)
 		// The zero value is valid.
 		_ = h.store.SetFaults(logservice.Faults{})
 	}
--- a/internal/lab/soak/serverfaults.go
+++ b/internal/lab/soak/serverfaults.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/hornbeamway/hornbeamway/internal/lab/pause"
 	"github.com/hornbeamway/hornbeamway/internal/standin/logservice"
 	"github.com/hornbeamway/hornbeamway/internal/standin/platformserver"
 )
@@ -22,7 +23,7 @@
 	h.replaceServer(s)
 	address := s.proxy.address()
 	s.proxy.close()
-	sleep(ctx, 2*time.Second)
+	pause.Sleep(ctx, 2*time.Second)
 	service := services[(draw+1)%len(services)]
 	next, err := h.addServer(service, address)
 	if err != nil {
@@ -30,7 +31,7 @@
 		return
 	}
 	next.SetFaults(duplicateRefusals)
-	sleep(ctx, 3*time.Second)
+	pause.Sleep(ctx, 3*time.Second)
 	next.SetFaults(platformserver.Faults{})
 }
 
@@ -54,7 +55,7 @@
 	if draw/victimRange%2 == 0 {
 		s.Leave()
 	}
-	sleep(ctx, drainBound+2*time.Second)
+	pause.Sleep(ctx, drainBound+2*time.Second)
 	h.mu.Lock()
 	s.stopped = true
 	h.store.Put(topicServers, s.ID, nil)
@@ -71,7 +72,7 @@
 		return
 	}
 	h.startReplacement(s)
-	sleep(ctx, time.Second)
+	pause.Sleep(ctx, time.Second)
 	variant := draw / victimRange
 	if variant%2 == 0 {
 		s.FailHealthChecks()
@@ -80,7 +81,7 @@
 	const remaining = drainBound + 3*time.Second
 	switch variant / 2 % 3 {
 	case 0:
-		sleep(ctx, remaining)
+		pause.Sleep(ctx, remaining)
 	case 1:
 		h.injectStoreFault(ctx, logservice.Faults{Down: true}, remaining)
 	case 2:
@@ -99,7 +100,7 @@
 			s.HoldOff(until)
 		}
 	}
-	sleep(ctx, duration)
+	pause.Sleep(ctx, duration)
 }
 
 // restartServer terminates a server and starts it again within a second under its id and address, with a later or, by draw, an
@@ -111,13 +112,13 @@
 	}
 	h.setServiceFaults(s.Service, duplicateRefusals)
 	defer h.setServiceFaults(s.Service, platformserver.Faults{})
-	sleep(ctx, time.Second)
+	pause.Sleep(ctx, time.Second)
 	h.mu.Lock()
 	s.restarting = true
 	h.mu.Unlock()
 	h.stopServer(s)
 	variant := draw / victimRange
-	sleep(ctx, time.Duration(variant%4)*300*time.Millisecond)
+	pause.Sleep(ctx, time.Duration(variant%4)*300*time.Millisecond)
 	born := time.Now().Add(2 * time.Second)
 	if variant/4%3 == 0 {
 		born = time.UnixMilli(s.born).Add(-time.Second)
@@ -127,5 +128,5 @@
 		return
 	}
 	h.setServiceFaults(s.Service, duplicateRefusals)
-	sleep(ctx, 2*time.Second)
+	pause.Sleep(ctx, 2*time.Second)
 }
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -11,6 +11,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/samber/lo"
+
+	"github.com/hornbeamway/hornbeamway/internal/lab/pause"
 )
 
 // ErrViolation reports that at least one guarantee was violated.
@@ -73,9 +75,9 @@
 		go func() { defer callers.Done(); (&caller{harness: h, balancer: b, number: i}).run(background) }()
 	}
 	injected := h.injectFaults(ctx, o)
-	sleep(ctx, recoveryTime)
+	pause.Sleep(ctx, recoveryTime)
 	served, total := c.counts()
-	sleep(ctx, measuredTime)
+	pause.Sleep(ctx, measuredTime)
 	servedLater, totalLater := c.counts()
 	if float64(servedLater-served) < minServedShare*float64(totalLater-total) || totalLater == total {
 		c.addViolation("RECOVER: %d of %d requests served %v after the last fault", servedLater-served, totalLater-total, recoveryTime)
@@ -90,7 +92,7 @@
 	for ctx.Err() == nil {
 		h.writeHeartbeats()
 		h.expireServers()
-		sleep(ctx, heartbeatInterval/4)
+		pause.Sleep(ctx, heartbeatInterval/4)
 	}
 }
 
@@ -102,7 +104,7 @@
 			if ctx.Err() != nil {
 				return errors.Newf("VM %s is not ready after %v; its log is %s", v.name, startTimeout, v.logFile)
 			}
-			sleep(ctx, 50*time.Millisecond)
+			pause.Sleep(ctx, 50*time.Millisecond)
 		}
 	}
 	return nil
@@ -126,7 +128,7 @@
 			defer running.Done()
 			f.inject(ctx, h, draw)
 		}()
-		sleep(ctx, time.Duration(h.random.Int64N(int64(2*meanFaultInterval))))
+		pause.Sleep(ctx, time.Duration(h.random.Int64N(int64(2*meanFaultInterval))))
 	}
 	running.Wait()
 	return injected
--- /dev/null
+++ b/internal/testsupport/listener.go
@@ -0,0 +1,23 @@
+// Package testsupport holds helpers that tests of several packages share. It imports no package of the product, so that every
+// test can import it.
+package testsupport
+
+import (
+	"net"
+	"sync/atomic"
+)
+
+// FailingListener returns Err from its first Accept.
+type FailingListener struct {
+	net.Listener
+	Err    error
+	failed atomic.Bool
+}
+
+// Accept implements net.Listener.
+func (l *FailingListener) Accept() (net.Conn, error) {
+	if !l.failed.Swap(true) {
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Addr: l.Addr(), Err: l.Err}
+	}
+	return l.Listener.Accept()
+}
--- a/pkg/burn/burn_test.go
+++ b/pkg/burn/burn_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"encoding/json"
-	"flag"
 	"reflect"
 	"testing"
 	"time"
@@ -13,13 +12,13 @@
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
+	"github.com/hornbeamway/hornbeamway/internal/testsupport"
 	"github.com/hornbeamway/hornbeamway/pkg/burn"
 	"github.com/hornbeamway/hornbeamway/pkg/clock"
 	"github.com/hornbeamway/hornbeamway/pkg/priority"
 )
 
-// The property tests use a fixed seed unless the command line sets another one.
-func init() { _ = flag.Set("rapid.seed", "20261204") }
+func init() { testsupport.FixRapid("20261204", "") }
 
 func TestBurn(t *testing.T) {
 	RegisterFailHandler(Fail)
--- a/pkg/directory/convergence_test.go
+++ b/pkg/directory/convergence_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"flag"
 	"fmt"
 	"io"
 	"testing"
@@ -11,14 +10,11 @@
 	"k8s.io/klog/v2"
 	"pgregory.net/rapid"
 
+	"github.com/hornbeamway/hornbeamway/internal/testsupport"
 	"github.com/hornbeamway/hornbeamway/pkg/clock"
 )
 
-// The seed is fixed so that a failure is reproducible; -rapid.seed overrides it.
-func init() {
-	_ = flag.Set("rapid.seed", "20261206")
-	_ = flag.Set("rapid.checks", "1000")
-}
+func init() { testsupport.FixRapid("20261206", "1000") }
 
 // storeModel is the log of server records in the store with what each server last wrote.
 type storeModel struct {
--- a/pkg/dispatch/runner_test.go
+++ b/pkg/dispatch/runner_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"flag"
 	"fmt"
 	"sync"
 	"testing"
@@ -12,20 +11,14 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/hornbeamway/hornbeamway/internal/testsupport"
 	"github.com/hornbeamway/hornbeamway/pkg/clock"
 	"github.com/hornbeamway/hornbeamway/pkg/dispatch"
 	"github.com/hornbeamway/hornbeamway/pkg/priority"
 	"github.com/hornbeamway/hornbeamway/pkg/problem"
 )
 
-// The property tests use a fixed seed so that runs are reproducible; -rapid.seed overrides it.
-func init() {
-	const seed = "20261204"
-	if err := flag.Set("rapid.seed", seed); err != nil {
-		panic(err)
-	}
-	fmt.Println("rapid seed", seed)
-}
+func init() { testsupport.FixRapid("20261204", "") }
 
 func TestDispatch(t *testing.T) {
 	RegisterFailHandler(Fail)
--- a/pkg/entryvm/health_test.go
+++ b/pkg/entryvm/health_test.go
@@ -10,24 +10,10 @@
 	. "github.com/onsi/gomega"
 	"github.com/valyala/fasthttp"
 
+	"github.com/hornbeamway/hornbeamway/internal/testsupport"
 	"github.com/hornbeamway/hornbeamway/pkg/entryvm"
 )
 
-// failingListener returns an error from its first Accept.
-type failingListener struct {
-	net.Listener
-	err    error
-	failed bool
-}
-
-func (l *failingListener) Accept() (net.Conn, error) {
-	if !l.failed {
-		l.failed = true
-		return nil, &net.OpError{Op: "accept", Net: "tcp", Addr: l.Addr(), Err: l.err}
-	}
-	return l.Listener.Accept()
-}
-
 var _ = Describe("the health server", func() {
 	// start serves on a listener whose first Accept fails, and returns the listener and the result of the server.
 	start := func(ctx context.Context, err error) (net.Listener, <-chan error) {
@@ -35,7 +21,7 @@
 		Expect(listenErr).NotTo(HaveOccurred())
 		DeferCleanup(func() { _ = l.Close() })
 		served := make(chan error, 1)
-		go func() { served <- entryvm.ServeHealthForTest(ctx, &failingListener{Listener: l, err: err}) }()
+		go func() { served <- entryvm.ServeHealthForTest(ctx, &testsupport.FailingListener{Listener: l, Err: err}) }()
 		return l, served
 	}
 
--- a/pkg/gateway/fixture_test.go
+++ b/pkg/gateway/fixture_test.go
@@ -19,6 +19,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/valyala/fasthttp"
 
+	"github.com/hornbeamway/hornbeamway/internal/testsupport/fixedtable"
 	"github.com/hornbeamway/hornbeamway/pkg/balance"
 	"github.com/hornbeamway/hornbeamway/pkg/clock"
 	"github.com/hornbeamway/hornbeamway/pkg/directory"
@@ -61,16 +62,6 @@
 
 func (plainDialect) SetRequestID(h *fasthttp.ResponseHeader, id string) { h.Set("Id", id) }
 
-// fixedCodec implements directory.Codec. It decodes every configuration as the same table.
-type fixedCodec struct{ table *routing.Table }
-
-func (c fixedCodec) DecodeConfiguration(string, []byte) (*routing.Table, bool, error) {
-	return c.table, true, nil
-}
-func (fixedCodec) DecodeServer(string, []byte) (directory.Server, error) {
-	return directory.Server{}, nil
-}
-
 // receivedRequest is a request that a backend server has received.
 type receivedRequest struct {
 	*http.Request
@@ -206,9 +197,6 @@
 	return t
 }
 
-// emptyGzip is an empty record compressed with gzip.
-var emptyGzip = []byte{31, 139, 8, 0, 0, 0, 0, 0, 0, 255, 1, 0, 0, 255, 255, 0, 0, 0, 0, 0, 0, 0, 0}
-
 // startGateway starts a gateway that chooses the backends in the given order. Without any backend it has no configuration.
 func startGateway(backends ...*backend) *fixture { return startGatewayWithSlots(3, backends...) }
 
@@ -216,9 +204,8 @@
 func startGatewayWithSlots(slots int, backends ...*backend) *fixture {
 	b := balance.New(balance.Location{DataCentre: "d", Region: "r"}, 1)
 	f := &fixture{retries: retrybudget.New(0.2, 4), balancer: b}
-	f.state = directory.NewState(clock.System{}, fixedCodec{table(1)}, b.SetServers)
-	snap := directory.Snapshot{Digest: directory.Digest{ConfigVersion: 1, ServersRevision: 1},
-		ConfigKey: "config", ConfigRecord: emptyGzip}
+	f.state = directory.NewState(clock.System{}, fixedtable.Codec{Table: table(1)}, b.SetServers)
+	snap := fixedtable.Snapshot()
 	for i, target := range backends {
 		// The slots make the earlier ones cheaper: the first counts as idle, the others as highly utilized.
 		snap.Servers = append(snap.Servers, directory.Server{ID: fmt.Sprint("s", i), Service: "s", Address: target.address,
--- a/pkg/gateway/ownership_test.go
+++ b/pkg/gateway/ownership_test.go
@@ -1,7 +1,6 @@
 package gateway_test
 
 import (
-	"flag"
 	"fmt"
 	"io"
 	"maps"
@@ -15,13 +14,11 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
+
+	"github.com/hornbeamway/hornbeamway/internal/testsupport"
 )
 
-// The seed is fixed so that a failure is reproducible; -rapid.seed overrides it.
-func init() {
-	_ = flag.Set("rapid.seed", "20261206")
-	_ = flag.Set("rapid.checks", "12")
-}
+func init() { testsupport.FixRapid("20261206", "12") }
 
 // attemptEnds are the ways in which a server ends its response, by name.
 var attemptEnds = map[string]func(*receivedRequest, net.Conn) bool{
@@ -115,7 +112,7 @@
 		open := func() int {
 			return f.Servers.OpenConnections(first.address) + f.Servers.OpenConnections(second.address)
 		}
-		stop := watchLowest(open)
+		stop := testsupport.WatchRange(500*time.Microsecond, open)
 		calls := 0
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
 			var running sync.WaitGroup
@@ -134,7 +131,8 @@
 				return open()
 			}, "5s", "10ms").Should(BeZero())
 		})
-		Expect(stop()).To(BeNumerically(">=", 0))
+		lowest, _ := stop()
+		Expect(lowest).To(BeNumerically(">=", 0))
 		Eventually(gauge.Get).Should(BeZero())
 		Expect(f.InFlight()).To(BeZero())
 		mu.Lock()
@@ -142,25 +140,3 @@
 		Expect(ended).To(HaveLen(len(attemptEnds)))
 	})
 })
-
-// watchLowest samples a number until the returned function is called, which returns the lowest.
-func watchLowest(sample func() int) (stop func() int) {
-	const interval = 500 * time.Microsecond
-	done, lowest := make(chan struct{}), make(chan int)
-	go func() {
-		least := sample()
-		for {
-			select {
-			case <-done:
-				lowest <- least
-				return
-			case <-time.After(interval):
-				least = min(least, sample())
-			}
-		}
-	}()
-	return func() int {
-		close(done)
-		return <-lowest
-	}
-}
--- a/pkg/ingress/accept_test.go
+++ b/pkg/ingress/accept_test.go
@@ -3,7 +3,6 @@
 import (
 	"net"
 	"os"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -12,29 +11,16 @@
 	. "github.com/onsi/gomega"
 	"github.com/valyala/fasthttp"
 
+	"github.com/hornbeamway/hornbeamway/internal/testsupport"
 	"github.com/hornbeamway/hornbeamway/pkg/ingress"
 )
 
-// failingListener returns an error from its first Accept.
-type failingListener struct {
-	net.Listener
-	err     error
-	accepts atomic.Int64
-}
-
-func (l *failingListener) Accept() (net.Conn, error) {
-	if l.accepts.Add(1) == 1 {
-		return nil, &net.OpError{Op: "accept", Net: "tcp", Addr: l.Addr(), Err: os.NewSyscallError("accept4", l.err)}
-	}
-	return l.Listener.Accept()
-}
-
 // startFailing serves HTTP on a listener whose first Accept fails with err, and returns its address and the result of Serve.
 func startFailing(t *testing.T, err error) (l net.Listener, served <-chan error) {
 	plain, listenErr := net.Listen("tcp", "127.0.0.1:0")
 	NewWithT(t).Expect(listenErr).NotTo(HaveOccurred())
 	t.Cleanup(func() { _ = plain.Close() })
-	l = ingress.NewListener(&failingListener{Listener: plain, err: err},
+	l = ingress.NewListener(&testsupport.FailingListener{Listener: plain, Err: os.NewSyscallError("accept4", err)},
 		ingress.Options{Connections: 10, ConnectionsPerCaller: 10, BodyIdleTimeout: time.Second})
 	server := &fasthttp.Server{Handler: func(*fasthttp.RequestCtx) {}}
 	result := make(chan error, 1)
--- a/pkg/link/link_test.go
+++ b/pkg/link/link_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"flag"
 	"fmt"
 	"io"
 	"testing"
@@ -14,14 +13,14 @@
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
+	"github.com/hornbeamway/hornbeamway/internal/testsupport"
 	"github.com/hornbeamway/hornbeamway/pkg/clock"
 	"github.com/hornbeamway/hornbeamway/pkg/membership"
 	"github.com/hornbeamway/hornbeamway/pkg/peer"
 	"github.com/hornbeamway/hornbeamway/pkg/priority"
 )
 
-// The property tests use a fixed seed unless the command line sets another one.
-func init() { _ = flag.Set("rapid.seed", "20261204") }
+func init() { testsupport.FixRapid("20261204", "") }
 
 func TestLink(t *testing.T) {
 	RegisterFailHandler(Fail)
--- a/pkg/measure/planner_test.go
+++ b/pkg/measure/planner_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"testing"
 	"time"
@@ -11,18 +10,12 @@
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
+	"github.com/hornbeamway/hornbeamway/internal/testsupport"
 	"github.com/hornbeamway/hornbeamway/pkg/clock"
 	"github.com/hornbeamway/hornbeamway/pkg/measure"
 )
 
-// The seed of the property tests is fixed, so that a run can be reproduced; -rapid.seed overrides it.
-func init() {
-	const seed = "20261204"
-	if err := flag.Set("rapid.seed", seed); err != nil {
-		panic(err)
-	}
-	fmt.Println("rapid seed", seed)
-}
+func init() { testsupport.FixRapid("20261204", "") }
 
 func TestMeasure(t *testing.T) {
 	RegisterFailHandler(Fail)
--- a/pkg/membership/table_test.go
+++ b/pkg/membership/table_test.go
@@ -1,7 +1,6 @@
 package membership
 
 import (
-	"flag"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -12,10 +11,11 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
+
+	"github.com/hornbeamway/hornbeamway/internal/testsupport"
 )
 
-// The property tests use a fixed seed unless the command line sets another one.
-func init() { _ = flag.Set("rapid.seed", "20261204") }
+func init() { testsupport.FixRapid("20261204", "") }
 
 func TestMembership(t *testing.T) {
 	RegisterFailHandler(Fail)
--- a/pkg/operation/property_test.go
+++ b/pkg/operation/property_test.go
@@ -10,14 +10,13 @@
 	"k8s.io/klog/v2"
 	"pgregory.net/rapid"
 
+	"github.com/hornbeamway/hornbeamway/internal/testsupport"
 	"github.com/hornbeamway/hornbeamway/pkg/operation"
 	"github.com/hornbeamway/hornbeamway/pkg/problem"
 )
 
-// The seed is fixed so that a failure is reproducible; -rapid.seed overrides it.
 func init() {
-	_ = flag.Set("rapid.seed", "20261204")
-	_ = flag.Set("rapid.checks", "25")
+	testsupport.FixRapid("20261204", "25")
 	klog.LogToStderr(false)
 	klog.SetOutput(io.Discard)
 }
--- a/pkg/peer/peer_test.go
+++ b/pkg/peer/peer_test.go
@@ -13,6 +13,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/hornbeamway/hornbeamway/internal/testsupport"
 	"github.com/hornbeamway/hornbeamway/pkg/peer"
 )
 
@@ -44,21 +45,6 @@
 	return s, l.Addr().String()
 }
 
-// failingListener returns an error from its first Accept.
-type failingListener struct {
-	net.Listener
-	err    error
-	failed bool
-}
-
-func (l *failingListener) Accept() (net.Conn, error) {
-	if !l.failed {
-		l.failed = true
-		return nil, &net.OpError{Op: "accept", Net: "tcp", Addr: l.Addr(), Err: l.err}
-	}
-	return l.Listener.Accept()
-}
-
 var _ = Describe("Server", func() {
 	// Guards against a process that ends when it runs out of file descriptors for a moment, and against one that continues without a
 	// listener.
@@ -69,7 +55,7 @@
 		DeferCleanup(func() { _ = s.Close() })
 		peer.Handle(s, "echo", func(_ context.Context, t text) (text, error) { return t, nil })
 		served := make(chan error, 1)
-		go func() { served <- s.Serve(&failingListener{Listener: l, err: err}) }()
+		go func() { served <- s.Serve(&testsupport.FailingListener{Listener: l, Err: err}) }()
 		var result text
 		Expect(pool(options()).Call(context.Background(), l.Addr().String(), "echo", text{"hello"}, &result)).To(Succeed())
 		Expect(result.Text).To(Equal("hello"))
--- a/pkg/priority/scheduler_test.go
+++ b/pkg/priority/scheduler_test.go
@@ -1,8 +1,6 @@
 package priority_test
 
 import (
-	"flag"
-	"fmt"
 	"testing"
 	"time"
 
@@ -10,17 +8,11 @@
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
+	"github.com/hornbeamway/hornbeamway/internal/testsupport"
 	"github.com/hornbeamway/hornbeamway/pkg/priority"
 )
 
-// The property tests use a fixed seed so that runs are reproducible; -rapid.seed overrides it.
-func init() {
-	const seed = "20261204"
-	if err := flag.Set("rapid.seed", seed); err != nil {
-		panic(err)
-	}
-	fmt.Println("rapid seed", seed)
-}
+func init() { testsupport.FixRapid("20261204", "") }
 
 func TestPriority(t *testing.T) {
 	RegisterFailHandler(Fail)
--- a/pkg/prober/prober_test.go
+++ b/pkg/prober/prober_test.go
@@ -14,6 +14,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/valyala/fasthttp"
 
+	"github.com/hornbeamway/hornbeamway/internal/testsupport/fixedtable"
 	"github.com/hornbeamway/hornbeamway/pkg/balance"
 	"github.com/hornbeamway/hornbeamway/pkg/clock"
 	"github.com/hornbeamway/hornbeamway/pkg/directory"
@@ -43,16 +44,6 @@
 	return head
 }
 
-type fakeCodec struct{}
-
-func (fakeCodec) DecodeConfiguration(string, []byte) (*routing.Table, bool, error) {
-	table, err := routing.NewTable(1, nil, []routing.Service{{Name: "s", HealthPath: "/health"}}, routing.Limits{})
-	return table, true, err
-}
-func (fakeCodec) DecodeServer(string, []byte) (directory.Server, error) {
-	return directory.Server{}, nil
-}
-
 var _ = Describe("Prober", func() {
 	var (
 		probes atomic.Int64
@@ -106,11 +97,11 @@
 		go func() { _ = httpServer.Serve(l) }()
 		DeferCleanup(httpServer.Close)
 		balancer = balance.New(balance.Location{DataCentre: "d", Region: "r"}, 1)
-		state = directory.NewState(clock.System{}, fakeCodec{}, balancer.SetServers)
+		table, err := routing.NewTable(1, nil, []routing.Service{{Name: "s", HealthPath: "/health"}}, routing.Limits{})
+		Expect(err).NotTo(HaveOccurred())
+		state = directory.NewState(clock.System{}, fixedtable.Codec{Table: table}, balancer.SetServers)
 		server = &directory.Server{ID: "a", Service: "s", Address: l.Addr().String(), DataCentre: "d", Region: "r", Slots: 3}
-		emptyGzip := []byte{31, 139, 8, 0, 0, 0, 0, 0, 0, 255, 1, 0, 0, 255, 255, 0, 0, 0, 0, 0, 0, 0, 0}
-		state.ApplySnapshot(directory.Snapshot{Digest: directory.Digest{ConfigVersion: 1, ServersRevision: 1}, ConfigKey: "config",
-			ConfigRecord: emptyGzip, Servers: []directory.Server{*server}}, "test")
+		state.ApplySnapshot(fixedtable.Snapshot(*server), "test")
 		// A probe may still end during the next spec, which must not share its variables.
 		events := make(chan loadshare.Event, 64)
 		shared = events
--- a/pkg/upstream/ownership_test.go
+++ b/pkg/upstream/ownership_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"io"
 	"net"
@@ -16,14 +15,11 @@
 	"github.com/valyala/fasthttp"
 	"pgregory.net/rapid"
 
+	"github.com/hornbeamway/hornbeamway/internal/testsupport"
 	"github.com/hornbeamway/hornbeamway/pkg/upstream"
 )
 
-// The seed is fixed so that a failure is reproducible; -rapid.seed overrides it.
-func init() {
-	_ = flag.Set("rapid.seed", "20261206")
-	_ = flag.Set("rapid.checks", "100")
-}
+func init() { testsupport.FixRapid("20261206", "100") }
 
 // serverEnd is a way in which a server ends its response. It is the path of the request.
 type serverEnd string
@@ -150,8 +146,8 @@
 		})
 		t := upstream.NewTransport(upstream.Options{MaxConns: func(string) int { return maxOpen }})
 		gauge := metrics.GetOrCreateGauge("hornbeamway_upstream_open_connections", nil)
-		before := steadyValue(gauge)
-		stop := watchRange(func() int { return t.OpenConnections(s.address) })
+		before := testsupport.SteadyValue(gauge)
+		stop := testsupport.WatchRange(100*time.Microsecond, func() int { return t.OpenConnections(s.address) })
 		rapid.Check(GinkgoT(), func(rt *rapid.T) {
 			var running sync.WaitGroup
 			for _, a := range scriptedAttempts.Draw(rt, "attempts") {
@@ -171,38 +167,3 @@
 		Expect(most).To(And(BeNumerically(">", 1), BeNumerically("<=", maxOpen)))
 	})
 })
-
-// steadyValue returns the value of a gauge once earlier specs no longer change it.
-func steadyValue(g *metrics.Gauge) (value float64) {
-	const interval = 100 * time.Millisecond
-	Eventually(func() bool {
-		value = g.Get()
-		time.Sleep(interval)
-		return g.Get() == value
-	}, "5s").Should(BeTrue())
-	return value
-}
-
-// watchRange samples a number until the returned function is called, which returns the lowest and the highest.
-func watchRange(sample func() int) (stop func() (least, most int)) {
-	const interval = 100 * time.Microsecond
-	done, ended := make(chan struct{}), make(chan struct{})
-	least, most := sample(), sample()
-	go func() {
-		defer close(ended)
-		for {
-			select {
-			case <-done:
-				return
-			case <-time.After(interval):
-				n := sample()
-				least, most = min(least, n), max(most, n)
-			}
-		}
-	}()
-	return func() (int, int) {
-		close(done)
-		<-ended
-		return least, most
-	}
-}
