preset, operation, loadshare, directory: split files by duty

Changed, moves only: - preset/state.go (394 lines): apply.go applies records; the kinds of events are in events.go - operation/ranges.go (360): read.go reads the stream, drain.go hands everything over; ReceiveChunk is in handover.go - loadshare/peers.go (363): targets.go picks who gets a heartbeat, contacts.go what it says of other VMs - preset/fault_test.go (420): watch_test.go and round_test.go - directory/directory_test.go (410): registration_test.go, fetch_test.go; the variables of its closure became followerFixture

The lines of the product files and of preset/fault_test.go were compared with the former ones: equal but for imports.

--- a/pkg/directory/fixture_test.go
+++ b/pkg/directory/fixture_test.go
@@ -6,11 +6,13 @@
 	"slices"
 	"strconv"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
 	. "github.com/onsi/gomega"
 
+	"github.com/hornbeamway/hornbeamway/pkg/clock"
 	"github.com/hornbeamway/hornbeamway/pkg/routing"
 )
 
@@ -136,3 +138,50 @@
 	}
 	return snap, nil
 }
+
+// serverA and serverB are the servers in the store of a followerFixture.
+var (
+	serverA = Server{ID: "a", Service: "s", Address: "1", Slots: 3, Incarnation: 1, Sequence: 1}
+	serverB = Server{ID: "b", Service: "s", Address: "2", Slots: 3, Incarnation: 1, Sequence: 1}
+)
+
+// followerFixture is a follower with a store that holds a configuration and two servers.
+type followerFixture struct {
+	manualClock *clock.Manual
+	store       *fakeStore
+	peers       *fakePeers
+	state       *State
+	follower    *Follower
+	discovered  []Batch
+}
+
+func newFollowerFixture() *followerFixture {
+	f := &followerFixture{manualClock: clock.NewManual(time.Unix(1_800_000_000, 0)), store: newFakeStore(), peers: &fakePeers{}}
+	f.state = NewState(f.manualClock, testCodec{}, func(*View) {})
+	f.follower = NewFollower(f.manualClock, f.state, f.store, f.peers, true, func(b Batch) { f.discovered = append(f.discovered, b) })
+	f.follower.self, f.follower.started = "self", f.manualClock.Now()
+	f.store.put(Configuration, "config", []byte("3"))
+	f.store.putServer(serverA)
+	f.store.putServer(serverB)
+	return f
+}
+
+func (f *followerFixture) step() {
+	if f.follower.readDue() {
+		f.follower.readStore(context.Background())
+	}
+	f.state.removeLapsed()
+}
+
+func (f *followerFixture) advance(d time.Duration) {
+	f.manualClock.Advance(d)
+	f.step()
+}
+
+func (f *followerFixture) usableIDs() []string {
+	var ids []string
+	for _, s := range f.state.View().ByService["s"] {
+		ids = append(ids, s.ID)
+	}
+	return ids
+}
--- a/pkg/loadshare/peers.go
+++ b/pkg/loadshare/peers.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/netip"
-	"slices"
 	"time"
 
 	"github.com/samber/lo"
@@ -20,26 +19,10 @@
 	minRestartTime = 300 * time.Millisecond
 	// peerRetention is the time since a VM was last seen after which it is removed from the peers.
 	peerRetention = 2 * time.Minute
-	// unreachablePeerRounds is the interval of heartbeats to an unreachable VM of the group, in heartbeat rounds.
-	unreachablePeerRounds = 5
-	// contactsPerRound is the number of VMs in each other data centre of the region that get every contactRounds-th
-	// heartbeat, and of VMs in other regions that get every otherRegionRounds-th.
-	contactsPerRound  = 2
-	contactRounds     = 5
-	otherRegionRounds = 50
 	// largeRegionPeers is the number of other live VMs in the region from which on counts are shared through aggregators of each
 	// data centre, and smallRegionPeers the one below which they are shared directly again.
 	largeRegionPeers = 20
 	smallRegionPeers = 16
-	// greetingPeriod is how long a newly added address gets every heartbeat before a datagram from its VM has arrived.
-	greetingPeriod = time.Second
-	// heartbeatContacts is the number of contacts in every unreachablePeerRounds-th heartbeat, summaryContacts that in each complete
-	// summary. maxReplyContacts bounds the contacts in the reply to a VM from which a datagram arrived for the first time.
-	heartbeatContacts = 4
-	summaryContacts   = 16
-	maxReplyContacts  = 40
-	// wellKnownShare is the share of the VMs that a VM must know so that it is not told of others at its first datagram.
-	wellKnownShare = 0.9
 	// maxPeers bounds the VMs in Sharer.peers.
 	maxPeers = 4096
 )
@@ -125,33 +108,6 @@
 	return newest, firstContact
 }
 
-// needsContacts reports whether a VM that sent its first datagram should be told of others at once. In a large region most VMs
-// already know most others from their aggregator.
-func (s *Sharer) needsContacts(m *message) bool {
-	return !s.aggregated || float64(m.known) < wellKnownShare*float64(len(s.peers)+1)
-}
-
-// mergeContacts updates the peers from the contacts that another VM has sent.
-func (s *Sharer) mergeContacts(contacts []contact, reporter string, now time.Time) {
-	for _, c := range contacts {
-		p := s.addByAddress(c.address, now)
-		if p == nil {
-			continue
-		}
-		if p.lastReceived.IsZero() {
-			p.dataCentre, p.region, p.capacity = c.dataCentre, s.Regions[c.dataCentre], c.capacity
-		}
-		if at := now.Add(-c.age); at.After(p.lastReported) {
-			p.lastReported = at
-		}
-		if !p.live && p.region != "" && !s.sharesDirectly(p) && now.Sub(p.lastReported) < remotePeerTimeout {
-			p.live = true
-			klog.V(1).InfoS("VM was reported live by another VM", "address", c.address, "dataCentre", c.dataCentre,
-				"reportedBy", reporter, "age", c.age)
-		}
-	}
-}
-
 // expirePeers marks VMs as unreachable after their timeout and returns them. It removes those that were last seen longer than
 // peerRetention ago.
 func (s *Sharer) expirePeers(now time.Time) []peer {
@@ -235,104 +191,10 @@
 	return live
 }
 
-// heartbeatTargets returns the VMs that get a heartbeat in a round, without the aggregator to which this VM subscribes.
-// readsStore means that this VM has read the store recently, so that the whole region needs its digest soon.
-func (s *Sharer) heartbeatTargets(round int, now time.Time, readsStore bool) []netip.AddrPort {
-	var targets, otherRegions []netip.AddrPort
-	byDataCentre := map[string][]netip.AddrPort{}
-	isolated := true
-	for address, p := range s.peers {
-		isolated = isolated && !(p.live && p.region == s.Region)
-		switch {
-		case address == s.subscription.source:
-		case s.aggregated && slices.Contains(s.aggregators, address):
-			targets = append(targets, address)
-		case p.region != "" && p.region != s.Region:
-			otherRegions = append(otherRegions, address)
-		case p.region == s.Region && s.aggregated:
-			byDataCentre[p.dataCentre] = append(byDataCentre[p.dataCentre], address)
-		case p.live || round%unreachablePeerRounds == 0 || now.Sub(p.addedAt) < greetingPeriod:
-			targets = append(targets, address)
-		}
-	}
-	for dataCentre, addresses := range byDataCentre {
-		switch {
-		case readsStore, s.isAggregator && dataCentre == s.DataCentre && round%aggregatorRounds == 0:
-			targets = append(targets, addresses...)
-		case round%contactRounds == 0:
-			// The aggregators pass on whom they hear of, so that all VMs of their data centre soon know this one.
-			targets = append(targets, lo.Union(lo.Samples(addresses, contactsPerRound), s.aggregatorsOf(dataCentre))...)
-		}
-	}
-	// A VM without a live peer in its region discovers them through other regions.
-	if round%otherRegionRounds == 0 || isolated && round%contactRounds == 0 {
-		targets = append(targets, lo.Samples(otherRegions, contactsPerRound)...)
-	}
-	return targets
-}
-
-// aggregatorsOf returns the aggregators of another data centre of the region, as this VM ranks them.
-func (s *Sharer) aggregatorsOf(dataCentre string) []netip.AddrPort {
-	if dataCentre == s.DataCentre {
-		return nil
-	}
-	candidates := s.candidates(func(d string) bool { return d == dataCentre })
-	if len(candidates) == 0 {
-		return nil
-	}
-	order, _ := rankForDuty(dutyAggregate, dataCentre, candidates)
-	return order[:min(aggregatorsPerDataCentre, len(order))]
-}
-
-// randomContacts returns a random sample of the live peers in every unreachablePeerRounds-th round, and none in others.
-func (s *Sharer) randomContacts(round int, now time.Time) []contact {
-	if round%unreachablePeerRounds != 0 {
-		return nil
-	}
-	return lo.Map(lo.Samples(s.livePeers(), heartbeatContacts), func(p *peer, _ int) contact { return p.contact(now) })
-}
-
-// rotatingContacts returns the next summaryContacts live VMs of the region in each round, so that a subscriber hears of all of
-// them within a bounded time.
-func (s *Sharer) rotatingContacts(round int, now time.Time) []contact {
-	region := s.liveInRegion()
-	slices.SortFunc(region, func(a, b *peer) int { return a.address.Compare(b.address) })
-	contacts := make([]contact, 0, summaryContacts)
-	for i := range min(summaryContacts, len(region)) {
-		contacts = append(contacts, region[(round*summaryContacts+i)%len(region)].contact(now))
-	}
-	return contacts
-}
-
-// nearestContacts returns up to maxReplyContacts live peers for a reply to p: those of its data centre first, then those of its
-// region, then all others, and among them those with the largest capacity first, which have duties.
-func (s *Sharer) nearestContacts(p *peer, now time.Time) []contact {
-	var contacts []contact
-	for _, include := range []func(*peer) bool{
-		func(o *peer) bool { return o.dataCentre == p.dataCentre },
-		func(o *peer) bool { return o.dataCentre != p.dataCentre && o.region == p.region },
-		func(o *peer) bool { return o.region != p.region },
-	} {
-		included := lo.Filter(s.livePeers(), func(o *peer, _ int) bool { return o != p && include(o) })
-		slices.SortFunc(included, func(a, b *peer) int { return b.capacity - a.capacity })
-		for _, o := range included {
-			if len(contacts) < maxReplyContacts {
-				contacts = append(contacts, o.contact(now))
-			}
-		}
-	}
-	return contacts
-}
-
 func (s *Sharer) livePeers() []*peer {
 	return lo.Filter(lo.Values(s.peers), func(p *peer, _ int) bool { return p.live })
 }
 
-func (p *peer) contact(now time.Time) contact {
-	return contact{address: p.address.String(), dataCentre: p.dataCentre, capacity: p.capacity,
-		age: now.Sub(p.lastSeen()).Truncate(time.Millisecond)}
-}
-
 // VMCount returns the number of VMs that this one or its aggregator knows, including this one.
 func (s *Sharer) VMCount() int {
 	s.mu.Lock()
--- a/pkg/operation/handover.go
+++ b/pkg/operation/handover.go
@@ -183,3 +183,30 @@
 	defer l.mu.Unlock()
 	return l.maxEntries - l.count
 }
+
+// ReceiveChunk stages a chunk that another VM sent with Peers.Handover. Error: ErrHandoverRefused.
+func (m *RangeManager) ReceiveChunk(c Chunk) error {
+	if c.Range < 0 || c.Range >= RangeCount || c.Handover == "" {
+		return errors.Wrapf(ErrHandoverRefused, "invalid chunk: range %d, handover %q", c.Range, c.Handover)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	staged := len(c.Entries)
+	for _, s := range m.stagedRanges {
+		staged += len(s.entries)
+	}
+	if m.draining || m.atHeadSince.IsZero() || staged > m.Ledger.freeEntries() {
+		return errors.Wrap(ErrHandoverRefused, "this VM is draining, is behind the log's head, or its operation memory is full")
+	}
+	if len(m.stagedRanges) == 0 {
+		// The release follows soon, so the log is read immediately and then at pollInterval.
+		m.requestStep()
+	}
+	st := m.stagedRanges[c.Range]
+	if st == nil || (c.Index == 0 && st.handover != c.Handover) {
+		st = &stagedRange{handover: c.Handover}
+		m.stagedRanges[c.Range] = st
+	}
+	st.receivedAt = m.Clock.Now()
+	return st.addChunk(st.receivedAt, c)
+}
