--- a/cmd/hornbeamctl/change.go
+++ b/cmd/hornbeamctl/change.go
@@ -156,8 +156,8 @@
 // version in force.
 func errorText(err error) string {
 	var status *admin.StatusError
-	if errors.As(err, &status) && status.Answer.InForce != nil {
-		return fmt.Sprintf("%s; the version in force is %d", status.Answer.Error, *status.Answer.InForce)
+	if errors.As(err, &status) && status.Response.InForce != nil {
+		return fmt.Sprintf("%s; the version in force is %d", status.Response.Error, *status.Response.InForce)
 	}
 	return err.Error()
 }
--- a/cmd/hornbeamctl/main_test.go
+++ b/cmd/hornbeamctl/main_test.go
@@ -39,7 +39,7 @@
 		f.progress = f.progress[1:]
 	case "POST /v1/proposals":
 		_ = json.NewDecoder(r.Body).Decode(&f.lastProposal)
-		response = admin.ProposeAnswer{ID: "p1"}
+		response = admin.ProposeResponse{ID: "p1"}
 		if f.rejection != nil {
 			w.WriteHeader(http.StatusConflict)
 			response = f.rejection
--- a/cmd/hornbeamlab/bench.go
+++ b/cmd/hornbeamlab/bench.go
@@ -14,13 +14,13 @@
 // benchCommand runs benchmarks. Without a subcommand it runs a short set of them.
 type benchCommand struct {
 	Added     *addedCommand     `arg:"subcommand:added" help:"latency over direct calls to the same backend servers"`
-	Scenarios *scenariosCommand `arg:"subcommand:scenarios" help:"faults, floods and replacements"`
+	Scenarios *scenariosCommand `arg:"subcommand:scenarios" help:"service during faults, floods and replacements of VMs"`
 	Body      *bodyCommand      `arg:"subcommand:body" help:"peak memory of the entry VMs while a large body passes"`
 	Control   *controlCommand   `arg:"subcommand:control" help:"bytes, processor time and memory that entry VMs spend for control"`
 	Plot      *plotCommand      `arg:"subcommand:plot" help:"draw the plots of a result file"`
 	systemFlags
-	JSON string `arg:"--json" help:"file for the result"`
-	SVG  string `arg:"--svg" help:"directory for plots"`
+	JSON string `arg:"--json" help:"file to which the result is written as JSON"`
+	SVG  string `arg:"--svg" help:"directory to which plots are written"`
 }
 
 // addedCommand measures the latency that the entry VMs add compared with direct calls.
--- a/cmd/hornbeamlab/commands.go
+++ b/cmd/hornbeamlab/commands.go
@@ -17,7 +17,7 @@
 type systemFlags struct {
 	Bin      string        `arg:"--bin" default:"bin" help:"directory of the programs"`
 	Samples  string        `arg:"--samples" default:"samples" help:"directory of the sample presets"`
-	Topology string        `arg:"--topology" default:"small" help:"small, balisage or imbuto"`
+	Topology string        `arg:"--topology" default:"small" help:"topology of the system: small, balisage or imbuto"`
 	Veto     time.Duration `arg:"--veto" default:"2s" help:"veto period of all presets"`
 	Seed     uint64        `arg:"--seed" default:"1" help:"seed of arrivals and service times"`
 	Keep     string        `arg:"--keep-logs" help:"directory that receives settings and logs"`
@@ -64,12 +64,12 @@
 type loadCommand struct {
 	rateFlags
 	Targets    []string      `arg:"positional,required" help:"callers' addresses of the entry VMs"`
-	Deployment string        `arg:"--deployment" default:"balisage" help:"balisage or imbuto: the routes"`
+	Deployment string        `arg:"--deployment" default:"balisage" help:"deployment whose routes are requested: balisage or imbuto"`
 	Duration   time.Duration `arg:"--duration" default:"10s" help:"measured time"`
-	WarmUp     time.Duration `arg:"--warm-up" default:"1s" help:"time before it"`
+	WarmUp     time.Duration `arg:"--warm-up" default:"1s" help:"time of the load before the measured time"`
 	Seed       uint64        `arg:"--seed" default:"1" help:"seed of arrivals"`
 	Fixed      bool          `arg:"--fixed" help:"equal distances between requests instead of a Poisson process"`
-	JSON       string        `arg:"--json" help:"file for the result"`
+	JSON       string        `arg:"--json" help:"file to which the result is written as JSON"`
 }
 
 func (c *loadCommand) run(ctx context.Context) error {
--- a/cmd/hornbeamlab/main.go
+++ b/cmd/hornbeamlab/main.go
@@ -16,9 +16,9 @@
 type arguments struct {
 	Demo  *demoCommand  `arg:"subcommand:demo" help:"two regions on loopback, traffic of all classes, changes of the preset and a drain; a report"`
 	Load  *loadCommand  `arg:"subcommand:load" help:"load a running system"`
-	Bench *benchCommand `arg:"subcommand:bench" help:"measure; without a subcommand a short set"`
-	Soak  *soakCommand  `arg:"subcommand:soak" help:"random faults on the platform form; exits 1 when a promise was broken"`
-	Chaos *chaosCommand `arg:"subcommand:chaos" help:"faults under load; exits 1 when a promise was broken"`
+	Bench *benchCommand `arg:"subcommand:bench" help:"measure latency and policies; without a subcommand a short set"`
+	Soak  *soakCommand  `arg:"subcommand:soak" help:"random faults on the platform form; exits 1 if a guarantee was violated"`
+	Chaos *chaosCommand `arg:"subcommand:chaos" help:"faults under load; exits 1 if a guarantee was violated"`
 }
 
 // Description implements arg.Described.
--- a/cmd/hornbeamlab/soak.go
+++ b/cmd/hornbeamlab/soak.go
@@ -16,10 +16,10 @@
 	Seed    uint64   `arg:"--seed" default:"1" help:"first seed"`
 	Seeds   int      `arg:"--seeds" default:"1" help:"number of seeds, one after the other"`
 	Seconds int      `arg:"--seconds" default:"20" help:"time of the faults of each seed"`
-	VMs     int      `arg:"--vms" default:"6" help:"entry VMs, at least 2"`
-	Servers int      `arg:"--servers" default:"4" help:"backend servers of each of the four services"`
-	Callers int      `arg:"--callers" default:"24" help:"callers"`
-	Network uint64   `arg:"--network" default:"1" help:"tells apart runs that are on one machine at the same time"`
+	VMs     int      `arg:"--vms" default:"6" help:"number of entry VMs, at least 2"`
+	Servers int      `arg:"--servers" default:"4" help:"number of backend servers of each of the four services"`
+	Callers int      `arg:"--callers" default:"24" help:"number of callers"`
+	Network uint64   `arg:"--network" default:"1" help:"number of the loopback network, different for each of the runs on one machine at the same time"`
 	Only    []string `arg:"--only" help:"limits the faults to those whose name begins so, for example vm.pause store"`
 }
 
--- a/internal/lab/chaos/check.go
+++ b/internal/lab/chaos/check.go
@@ -18,10 +18,10 @@
 // Kinds of violations, as printed in the report.
 const (
 	violationRunTwice           = "operation run twice"
-	violationWrongResponse      = "answer to the wrong caller or damaged"
-	violationFalseNotRun        = "told not_run but ran"
+	violationWrongResponse      = "response corrupted or of another request"
+	violationFalseNotRun        = "reported not_run but ran"
 	violationAnsweredNotRun     = "answered without a run"
-	violationDifferentResponses = "repeat got another answer"
+	violationDifferentResponses = "repeat got another response"
 	violationVersionReverted    = "configuration went back"
 	violationStaleVersion       = "old configuration in force too long"
 	violationVersionConflict    = "one version, two contents"
@@ -81,7 +81,7 @@
 		}
 	}
 	if len(responses) > 1 {
-		add(violationDifferentResponses, "answers %v", responses)
+		add(violationDifferentResponses, "responses %v", responses)
 	}
 	return found
 }
@@ -92,17 +92,17 @@
 func contradictedNotRun(rec *requestRecord, reported attempt, executions []cluster.Execution) string {
 	for _, execution := range executions {
 		if reported.OwnOutcome == load.NotRun && execution.RequestID == reported.ID {
-			return "the answer reported this attempt as not run, but it ran"
+			return "the response reported this attempt as not run, but it ran"
 		}
 		i := slices.IndexFunc(rec.Attempts, func(a attempt) bool { return a.ID == execution.RequestID })
 		if reported.Outcome != load.NotRun || i < 0 {
 			continue
 		}
 		if execution.StartedAtMs < reported.Sent.UnixMilli() {
-			return "the answer reported not_run for all attempts, but one had run before"
+			return "the response reported not_run for all attempts, but one had run before"
 		}
 		if rec.Attempts[i].Ended.Before(reported.Sent) {
-			return "the answer reported not_run for all attempts, but an earlier one that the caller had given up ran afterwards"
+			return "the response reported not_run for all attempts, but an earlier one that the caller had given up ran afterwards"
 		}
 	}
 	return ""
@@ -175,7 +175,7 @@
 		byKind[v.kind] = append(byKind[v.kind], v)
 	}
 	if len(h.violations) > 0 {
-		h.printf("load began at %s; what happened:\n", clockTime(h.startedAt))
+		h.printf("load began at %s; timeline:\n", clockTime(h.startedAt))
 		sort.Strings(h.timeline)
 		for _, line := range h.timeline {
 			h.printf("  %s\n", line)
--- a/internal/lab/demo/demo.go
+++ b/internal/lab/demo/demo.go
@@ -64,12 +64,12 @@
 		return err
 	}
 	for _, violation := range d.violations {
-		d.printf("BROKEN: %s\n", violation)
+		d.printf("VIOLATION: %s\n", violation)
 	}
 	if len(d.violations) > 0 {
 		return errors.Wrapf(ErrViolation, "%d", len(d.violations))
 	}
-	d.printf("all promises were kept\n")
+	d.printf("no guarantee was violated\n")
 	return nil
 }
 
--- a/internal/lab/load/load_test.go
+++ b/internal/lab/load/load_test.go
@@ -135,7 +135,7 @@
 			modify(ctx)
 		}
 	}
-	// Guards against responses that belong to another request or are corrupted but count as answered (invariant 2).
+	// Guards against responses that belong to another request or are corrupted but count as answered (invariant 2 of docs/design.md).
 	DescribeTable("classify", func(ctx SpecContext, path string, modify func(*fasthttp.RequestCtx), want load.Outcome) {
 		stream := readStream(10)
 		stream.Path = path
--- a/pkg/admin/admin_test.go
+++ b/pkg/admin/admin_test.go
@@ -139,7 +139,7 @@
 	response, err := admin.NewClient(f.serve(0), operatorCredential).
 		Propose(admin.ProposeRequest{Object: "active", Base: 0, Content: []byte(`"peak"`)})
 	Expect(err).NotTo(HaveOccurred())
-	Expect(response).To(Equal(admin.ProposeAnswer{ID: "p1"}))
+	Expect(response).To(Equal(admin.ProposeResponse{ID: "p1"}))
 	Expect(f.proposed).To(Equal(preset.Change{Object: "active", Content: []byte(`"peak"`), Author: "operator"}))
 })
 
--- a/pkg/admin/change.go
+++ b/pkg/admin/change.go
@@ -79,12 +79,12 @@
 		Object: request.Object, Base: request.Base, Content: request.Content, Author: string(Operator),
 	})
 	if errors.Is(err, preset.ErrUndecided) && r.proposal != "" {
-		return c.Status(fiber.StatusAccepted).JSON(ProposeAnswer{ID: r.proposal, Undecided: true})
+		return c.Status(fiber.StatusAccepted).JSON(ProposeResponse{ID: r.proposal, Undecided: true})
 	}
 	if err != nil {
 		return err
 	}
-	return c.Status(fiber.StatusCreated).JSON(ProposeAnswer{ID: r.proposal})
+	return c.Status(fiber.StatusCreated).JSON(ProposeResponse{ID: r.proposal})
 }
 
 // decodeProposal decodes a ProposeRequest. The base is required: a missing one would be read as version 0, which exists.
--- a/pkg/admin/client.go
+++ b/pkg/admin/client.go
@@ -13,21 +13,21 @@
 	"github.com/hornbeamway/hornbeamway/pkg/preset"
 )
 
-// ErrUnreachable reports an entry VM whose administration API did not answer.
-var ErrUnreachable = errors.New("administration API did not answer")
+// ErrUnreachable reports an entry VM whose administration API did not respond.
+var ErrUnreachable = errors.New("administration API did not respond")
 
 // clientTimeout is the default timeout of one request. It exceeds changeTimeout, so that the server responds first.
 const clientTimeout = changeTimeout + 5*time.Second
 
 // StatusError is an error response of the API.
 type StatusError struct {
-	Status int
-	Answer Error
+	Status   int
+	Response Error
 }
 
 // Error implements error.
 func (e *StatusError) Error() string {
-	return fmt.Sprintf("status %d: %s", e.Status, e.Answer.Error)
+	return fmt.Sprintf("status %d: %s", e.Status, e.Response.Error)
 }
 
 // Client calls the administration API of one entry VM.
@@ -89,12 +89,12 @@
 }
 
 // Propose sends a proposal. For a stale base it returns a *StatusError with the version in force.
-func (c *Client) Propose(r ProposeRequest) (ProposeAnswer, error) {
+func (c *Client) Propose(r ProposeRequest) (ProposeResponse, error) {
 	body, err := json.Marshal(r)
 	if err != nil {
-		return ProposeAnswer{}, errors.Wrap(err, "encode proposal")
+		return ProposeResponse{}, errors.Wrap(err, "encode proposal")
 	}
-	return call[ProposeAnswer](c, fasthttp.MethodPost, "/v1/proposals", body)
+	return call[ProposeResponse](c, fasthttp.MethodPost, "/v1/proposals", body)
 }
 
 // Veto vetoes a proposal on behalf of the customer. A nil error means that the veto has taken effect.
@@ -125,13 +125,13 @@
 	}
 	if status := resp.StatusCode(); status >= fasthttp.StatusBadRequest {
 		statusErr := &StatusError{Status: status}
-		if json.Unmarshal(resp.Body(), &statusErr.Answer) != nil {
-			statusErr.Answer.Error = string(resp.Body())
+		if json.Unmarshal(resp.Body(), &statusErr.Response) != nil {
+			statusErr.Response.Error = string(resp.Body())
 		}
 		return response, statusErr
 	}
 	if len(resp.Body()) == 0 {
 		return response, nil
 	}
-	return response, errors.Wrap(json.Unmarshal(resp.Body(), &response), "decode answer")
+	return response, errors.Wrap(json.Unmarshal(resp.Body(), &response), "decode response")
 }
--- a/pkg/admin/types.go
+++ b/pkg/admin/types.go
@@ -46,8 +46,8 @@
 	Content json.RawMessage `json:"content"`
 }
 
-// ProposeAnswer is the response to POST /v1/proposals.
-type ProposeAnswer struct {
+// ProposeResponse is the response to POST /v1/proposals.
+type ProposeResponse struct {
 	ID string `json:"id"`
 	// Undecided is true if the effect of the append is not known yet; the proposal may be pending.
 	Undecided bool `json:"undecided,omitempty"`
--- a/pkg/dispatch/health.go
+++ b/pkg/dispatch/health.go
@@ -36,7 +36,7 @@
 	l := &p.latencies[c]
 	switch r.Class {
 	case Success:
-		s.lastAnswer = now
+		s.lastResponse = now
 		s.observe(l.relativeServiceTime(r.Latency), false)
 		s.recordSuccess()
 		l.record(now, r.Latency)
@@ -44,7 +44,7 @@
 			l.recordMean(r.Latency)
 		}
 	case Failed, Shed:
-		s.lastAnswer = now
+		s.lastResponse = now
 		s.observe(max(p.errorRelativeServiceTime(now, l), l.relativeServiceTime(r.Latency)), true)
 		s.recordFailure(now)
 	case TimedOut:
@@ -65,7 +65,7 @@
 	case NotSent:
 		s.paused, s.pausedUntil = true, now.Add(notSentPause)
 	case Draining:
-		s.lastAnswer = now
+		s.lastResponse = now
 		s.draining, s.drainingSince = true, now
 	}
 	if s.straggler || s.ejected || r.Class != Success {
@@ -95,7 +95,7 @@
 		return
 	}
 	switch {
-	case r.Draining && !s.draining && r.At.After(s.lastAnswer):
+	case r.Draining && !s.draining && r.At.After(s.lastResponse):
 		s.draining, s.drainingSince = true, r.At
 	case !r.Draining && s.draining && r.At.Sub(s.drainingSince) >= drainHoldTime:
 		s.draining = false
--- a/pkg/dispatch/pool.go
+++ b/pkg/dispatch/pool.go
@@ -36,7 +36,7 @@
 	candidates []*ServerState
 }
 
-// Waiter is a request in the queue of a pool. It gets exactly one answer unless it is cancelled.
+// Waiter is a request in the queue of a pool. It gets exactly one reply unless it is cancelled.
 type Waiter struct {
 	Request Request
 	handle  priority.Handle
@@ -56,8 +56,8 @@
 // State returns the state of the server whose slot is held.
 func (l *Lease) State() *ServerState { return l.state }
 
-// AnswerFunc receives the answer to a waiting request: either a lease or a problem.
-type AnswerFunc func(w *Waiter, l *Lease, p *problem.Problem)
+// ReplyFunc receives the reply to a waiting request: either a lease or a problem.
+type ReplyFunc func(w *Waiter, l *Lease, p *problem.Problem)
 
 // NewPool returns a pool without servers.
 func NewPool(o PoolOptions) *Pool {
@@ -161,11 +161,11 @@
 }
 
 // Dispatch grants free slots to waiting requests. It refuses an expired request when the scheduler returns it.
-func (p *Pool) Dispatch(now time.Time, answer AnswerFunc) {
+func (p *Pool) Dispatch(now time.Time, reply ReplyFunc) {
 	p.review(now)
 	for p.Queued() > 0 {
 		if !p.hasAvailableServer() {
-			p.refuseAll(now, answer)
+			p.refuseAll(now, reply)
 			return
 		}
 		available := p.checkAvailability(now)
@@ -176,22 +176,22 @@
 		w.queued = false
 		if lease, refused := p.grantSlot(now, w, c, available.useEjected); refused != nil {
 			p.queue.Charge(c, 0)
-			answer(w, nil, refused)
+			reply(w, nil, refused)
 		} else {
-			answer(w, lease, nil)
+			reply(w, lease, nil)
 		}
 	}
 }
 
 // Sweep refuses all expired requests. Dispatch finds them only when the scheduler returns them.
-func (p *Pool) Sweep(now time.Time, answer AnswerFunc) {
+func (p *Pool) Sweep(now time.Time, reply ReplyFunc) {
 	p.queue.Sweep(now, func(w *Waiter) {
 		w.queued = false
-		answer(w, nil, expiredProblem())
+		reply(w, nil, expiredProblem())
 	})
 }
 
-func (p *Pool) refuseAll(now time.Time, answer AnswerFunc) {
+func (p *Pool) refuseAll(now time.Time, reply ReplyFunc) {
 	for {
 		w, c, ok := p.queue.Pop(now)
 		if !ok {
@@ -199,7 +199,7 @@
 		}
 		w.queued = false
 		p.queue.Charge(c, 0)
-		answer(w, nil, refusal(problem.ReasonNoServer, "no server of the pool takes calls", trialInterval))
+		reply(w, nil, refusal(problem.ReasonNoServer, "no server of the pool takes calls", trialInterval))
 	}
 }
 
--- a/pkg/dispatch/pool_test.go
+++ b/pkg/dispatch/pool_test.go
@@ -29,7 +29,7 @@
 	return p
 }
 
-func (p *poolHarness) answer(t rapid.TB) dispatch.AnswerFunc {
+func (p *poolHarness) answer(t rapid.TB) dispatch.ReplyFunc {
 	return func(w *dispatch.Waiter, l *dispatch.Lease, refused *problem.Problem) {
 		if !p.waiting[w] || (l == nil) == (refused == nil) {
 			t.Fatalf("want exactly one answer to a waiting request: waiting %v, lease %v, problem %v", p.waiting[w], l, refused)
--- a/pkg/dispatch/poolchoice.go
+++ b/pkg/dispatch/poolchoice.go
@@ -79,7 +79,7 @@
 
 // NewPoolSelector returns a PoolSelector without pools.
 func NewPoolSelector(o PoolSelectorOptions) *PoolSelector {
-	const regionRoundTrip, remoteRoundTrip = 3 * time.Millisecond, 60 * time.Millisecond // from section 1 of the design
+	const regionRoundTrip, remoteRoundTrip = 3 * time.Millisecond, 60 * time.Millisecond // docs/design.md, section 1
 	o.RegionRoundTrip = cmp.Or(o.RegionRoundTrip, regionRoundTrip)
 	o.RemoteRoundTrip = cmp.Or(o.RemoteRoundTrip, remoteRoundTrip)
 	return &PoolSelector{options: o, loads: map[PoolKey]PoolLoad{}, suspect: map[string]time.Time{}}
--- a/pkg/dispatch/runner.go
+++ b/pkg/dispatch/runner.go
@@ -41,7 +41,7 @@
 	apply  func(*Pool, time.Time)
 }
 
-// reply is the answer to one Acquire call: a lease or a problem.
+// reply is the result of one Acquire call: a lease or a problem.
 type reply struct {
 	lease   *Lease
 	problem *problem.Problem
@@ -85,10 +85,10 @@
 		return nil, refusal(problem.ReasonQueueFull, "the dispatcher is behind", 0)
 	}
 	select {
-	case answer := <-w.reply:
+	case received := <-w.reply:
 		w.Request = Request{}
 		r.waiters.Put(w)
-		return r.slotFrom(answer)
+		return r.slotFrom(received)
 	case <-ctx.Done():
 		return r.cancel(w)
 	case <-r.stopped:
@@ -102,30 +102,30 @@
 		return r.replyAfterStop(w)
 	}
 	select {
-	case answer := <-w.reply:
-		if answer.lease != nil {
-			r.release(answer.lease, Result{Class: Cancelled})
+	case received := <-w.reply:
+		if received.lease != nil {
+			r.release(received.lease, Result{Class: Cancelled})
 		}
 	case <-r.stopped:
 	}
 	return nil, refusal(problem.ReasonCancelled, "the caller left the queue", 0)
 }
 
-// replyAfterStop returns the answer that was sent before the runner stopped, if any.
+// replyAfterStop returns the reply that was sent before the runner stopped, if any.
 func (r *Runner) replyAfterStop(w *Waiter) (Slot, error) {
 	select {
-	case answer := <-w.reply:
-		return r.slotFrom(answer)
+	case received := <-w.reply:
+		return r.slotFrom(received)
 	default:
 		return nil, stoppedProblem()
 	}
 }
 
-func (r *Runner) slotFrom(answer reply) (Slot, error) {
-	if answer.problem != nil {
-		return nil, answer.problem
+func (r *Runner) slotFrom(received reply) (Slot, error) {
+	if received.problem != nil {
+		return nil, received.problem
 	}
-	return &slot{runner: r, lease: answer.lease}, nil
+	return &slot{runner: r, lease: received.lease}, nil
 }
 
 // send passes an event to the goroutine. It blocks only briefly, because the goroutine blocks on nothing but its events and
@@ -161,16 +161,16 @@
 
 // ServerStates returns copies of the server states, or nil after the runner has stopped.
 func (r *Runner) ServerStates() []ServerState {
-	answer := make(chan []ServerState, 1)
+	result := make(chan []ServerState, 1)
 	r.send(event{kind: eventServerStates, apply: func(p *Pool, _ time.Time) {
 		states := make([]ServerState, 0, len(p.servers))
 		for _, s := range p.servers {
 			states = append(states, *s)
 		}
-		answer <- states
+		result <- states
 	}})
 	select {
-	case states := <-answer:
+	case states := <-result:
 		return states
 	case <-r.stopped:
 		return nil
@@ -255,7 +255,7 @@
 	r.pool.refuseAll(r.clock.Now(), func(w *Waiter, _ *Lease, _ *problem.Problem) { sendReply(w, nil, stoppedProblem()) })
 }
 
-// sendReply answers the waiting Acquire call. It never blocks, because the channel has capacity for the only answer.
+// sendReply replies to the waiting Acquire call. It never blocks, because the channel has capacity for the only reply.
 func sendReply(w *Waiter, l *Lease, p *problem.Problem) { w.reply <- reply{lease: l, problem: p} }
 
 func stoppedProblem() *problem.Problem {
--- a/pkg/dispatch/serverstate.go
+++ b/pkg/dispatch/serverstate.go
@@ -53,7 +53,7 @@
 	listed        bool
 
 	lastGrantedAt time.Time
-	lastAnswer    time.Time
+	lastResponse  time.Time
 	report        LoadReport
 }
 
@@ -98,8 +98,8 @@
 // Draining reports whether the server is draining, according to its responses and load reports.
 func (s *ServerState) Draining() bool { return s.draining }
 
-// LastAnswer returns the time of the last response from the server.
-func (s *ServerState) LastAnswer() time.Time { return s.lastAnswer }
+// LastResponse returns the time of the last response from the server.
+func (s *ServerState) LastResponse() time.Time { return s.lastResponse }
 
 // LoadReport returns the last load report and whether it is recent enough to be used.
 func (s *ServerState) LoadReport(now time.Time) (LoadReport, bool) {
--- a/pkg/entryvm/entryvm_test.go
+++ b/pkg/entryvm/entryvm_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -51,8 +52,11 @@
 	It("is ready once it has read the configuration and the servers, and then serves requests", func() {
 		Eventually(readiness, "2s").Should(Equal(http.StatusServiceUnavailable))
 		_, early := sendOrder("early")
-		code, _, _ := readResponse(early)
-		Expect(code).To(Equal(http.StatusServiceUnavailable))
+		refusal, err := http.ReadResponse(early, nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(refusal.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		Expect(strconv.ParseFloat(refusal.Header.Get("Retry-After"), 64)).To(BeNumerically(">", 0))
+		Expect(refusal.Body.Close()).To(Succeed())
 		publishConfiguration()
 		Eventually(readiness, "5s").Should(Equal(http.StatusOK))
 		_, r := sendOrder("first")
--- a/pkg/entryvm/lifecycle.go
+++ b/pkg/entryvm/lifecycle.go
@@ -25,8 +25,8 @@
 	// refusalMargin is the time before the end of the shutdown timeout from which new requests are refused, so that those
 	// accepted before can finish.
 	refusalMargin = 2800 * time.Millisecond
-	// answerMargin is the time between the latest deadline of an accepted request and the exit, in which its response is written.
-	answerMargin = 100 * time.Millisecond
+	// responseMargin is the time between the latest deadline of an accepted request and the exit, in which its response is written.
+	responseMargin = 100 * time.Millisecond
 	// healthCheckDetectionTime is the time within which the platform detects failing health checks.
 	healthCheckDetectionTime = 3 * time.Second
 	// deadlineLimitDelay is the time after the stop signal from which requests are refused whose deadline is not before the exit. It
@@ -143,7 +143,7 @@
 		elapsed := time.Since(started)
 		if !limited && elapsed >= deadlineLimitDelay {
 			limited = true
-			v.gateway.RefuseDeadlinesAfter(started.Add(exitAfter - answerMargin))
+			v.gateway.RefuseDeadlinesAfter(started.Add(exitAfter - responseMargin))
 			klog.InfoS("refusing requests whose deadline is after the exit", "inFlight", v.gateway.InFlight(),
 				"connections", v.gateway.Connections(), "exitIn", exitAfter-elapsed)
 		}
--- a/pkg/gateway/connection_test.go
+++ b/pkg/gateway/connection_test.go
@@ -61,13 +61,13 @@
 	// respondLargeTogether answers both attempts of a hedged request at the same time. The second attempt starts after half of the
 	// route's timeout.
 	respondLargeTogether = func(r *receivedRequest, c net.Conn) bool {
-		at, _ := answerTimes.LoadOrStore(r.Header.Get("Id"), time.Now().Add(routeTimeout*3/4))
+		at, _ := responseTimes.LoadOrStore(r.Header.Get("Id"), time.Now().Add(routeTimeout*3/4))
 		time.Sleep(time.Until(at.(time.Time)))
 		writePart(r, c, 200, hedgedBody, hedgedBody, "Proof: p")
 		return true
 	}
-	// answerTimes holds the time.Time at which a request is answered, by its id.
-	answerTimes sync.Map
+	// responseTimes holds the time.Time at which a request is answered, by its id.
+	responseTimes sync.Map
 )
 
 var _ = Describe("connections to a server", func() {
--- a/pkg/gateway/record.go
+++ b/pkg/gateway/record.go
@@ -51,11 +51,11 @@
 	if c.trace.Len() > 0 {
 		c.trace.WriteByte(' ')
 	}
-	fmt.Fprintf(&c.trace, "[server=%s address=%s busy=%d slowness=%.2f figureAge=%dms expected=%dms result=%q",
+	fmt.Fprintf(&c.trace, "[server=%s address=%s busy=%d slowdown=%.2f reportAge=%dms expected=%dms result=%q",
 		choice.Server.ID, choice.Server.Address, choice.InFlight, choice.Slowdown, choice.ReportAge.Milliseconds(),
 		choice.Expected.Milliseconds(), r.detail)
 	if r.report != nil {
-		fmt.Fprintf(&c.trace, " told=%d,%d,%.2f", r.report.Running, r.report.Waiting, r.report.Slowdown)
+		fmt.Fprintf(&c.trace, " loadReport=%d,%d,%.2f", r.report.Running, r.report.Waiting, r.report.Slowdown)
 	}
 	c.trace.WriteByte(']')
 }
--- a/pkg/link/pacer.go
+++ b/pkg/link/pacer.go
@@ -214,8 +214,8 @@
 	Bytes int            `json:"bytes"`
 }
 
-// grantAnswer is the result of link.grant. The block expires after blockLifetime.
-type grantAnswer struct {
+// grantResponse is the result of link.grant. The block expires after blockLifetime.
+type grantResponse struct {
 	Bytes int `json:"bytes"`
 }
 
@@ -239,18 +239,18 @@
 }
 
 // callGrant calls link.grant on the elected coordinator, locally if that is this VM.
-func (p *Pacer) callGrant(ctx context.Context, r grantRequest) (grantAnswer, error) {
+func (p *Pacer) callGrant(ctx context.Context, r grantRequest) (grantResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, grantTimeout)
 	defer cancel()
 	self := p.options.View.Self()
 	elected, ok := Elect(self.Region, p.options.View.AliveInRegion(self.Region))
 	switch {
 	case !ok:
-		return grantAnswer{}, ErrNoGrant
+		return grantResponse{}, ErrNoGrant
 	case elected.ID == self.ID:
 		return p.handleGrant(ctx, r)
 	}
-	var answer grantAnswer
+	var answer grantResponse
 	err := p.options.Sender.Call(ctx, elected.Peer, methodGrant, r, &answer)
 	return answer, err
 }
--- a/pkg/link/pledge.go
+++ b/pkg/link/pledge.go
@@ -23,27 +23,27 @@
 }
 
 // handleGrant handles link.grant on the coordinator. It waits up to grantWait for a block.
-func (p *Pacer) handleGrant(ctx context.Context, r grantRequest) (grantAnswer, error) {
+func (p *Pacer) handleGrant(ctx context.Context, r grantRequest) (grantResponse, error) {
 	now := p.options.Clock.Now()
 	request := &blockRequest{bytes: r.Bytes, deadline: now.Add(grantWait), granted: make(chan int, 1)}
 	p.mu.Lock()
 	ok := int(r.Class) < priority.NumClasses && p.coordinator.enqueue(r.Class, request)
 	p.mu.Unlock()
 	if !ok {
-		return grantAnswer{}, ErrQueueFull
+		return grantResponse{}, ErrQueueFull
 	}
 	signal(p.grantSignal)
 	select {
 	case n := <-request.granted:
-		return grantAnswer{n}, nil
+		return grantResponse{n}, nil
 	case <-p.options.Clock.After(grantWait):
 	case <-ctx.Done():
 	}
 	select { // the block may have been granted at the same moment
 	case n := <-request.granted:
-		return grantAnswer{n}, nil
+		return grantResponse{n}, nil
 	default:
-		return grantAnswer{}, ErrNoGrant
+		return grantResponse{}, ErrNoGrant
 	}
 }
 
--- a/pkg/measure/budget.go
+++ b/pkg/measure/budget.go
@@ -9,7 +9,7 @@
 	"golang.org/x/time/rate"
 )
 
-// The probe budget of design section 5.2, per second. A token bucket has the capacity of one second and starts empty, so that
+// The probe budget per second (docs/design.md, section 5.2). A token bucket has the capacity of one second and starts empty, so that
 // replacing all VMs at once spends no more than VMs that keep running.
 const (
 	// serverTimePerSecond is the backend time that probes of one server may use, in microseconds.
--- a/pkg/membership/check.go
+++ b/pkg/membership/check.go
@@ -14,22 +14,22 @@
 	Incarnation uint64 `json:"n"`
 }
 
-// checkAnswer is the result of membership.check.
-type checkAnswer struct {
+// checkResponse is the result of membership.check.
+type checkResponse struct {
 	// Known is false when the responding VM has no entry for the sender's id.
 	Known bool `json:"k,omitempty"`
 	// Current is false when the responding VM has another, later incarnation of the sender's id.
 	Current bool `json:"c,omitempty"`
 }
 
-// answerCheck looks up the sender of a check in the current view.
-func (s *Service) answerCheck(c checkRequest) checkAnswer {
+// handleCheck looks up the sender of a check in the current view.
+func (s *Service) handleCheck(c checkRequest) checkResponse {
 	for _, m := range s.current.Load().all {
 		if m.ID == c.ID {
-			return checkAnswer{Known: true, Current: m.Incarnation == c.Incarnation}
+			return checkResponse{Known: true, Current: m.Incarnation == c.Incarnation}
 		}
 	}
-	return checkAnswer{}
+	return checkResponse{}
 }
 
 // startCheck sends a check to one random peer. It is called at each tick until a peer has responded. A VM without peers
@@ -49,7 +49,7 @@
 		defer l.background.Done()
 		ctx, cancel := context.WithTimeout(ctx, sendTimeout)
 		defer cancel()
-		var a checkAnswer
+		var a checkResponse
 		err := l.options.Sender.Call(ctx, p.Peer, methodCheck, checkRequest{l.options.Self.ID, l.options.Self.Incarnation}, &a)
 		if err != nil {
 			klog.V(1).InfoS("membership check after a pause failed; retrying at the next tick", "peer", p.ID, "err", err)
--- a/pkg/membership/service.go
+++ b/pkg/membership/service.go
@@ -121,10 +121,10 @@
 	peer.Handle(server, methodHeartbeat, func(_ context.Context, h Heartbeat) (struct{}, error) {
 		return struct{}{}, s.Deliver(h)
 	})
-	peer.Handle(server, methodCheck, func(_ context.Context, c checkRequest) (checkAnswer, error) {
-		return s.answerCheck(c), nil
+	peer.Handle(server, methodCheck, func(_ context.Context, c checkRequest) (checkResponse, error) {
+		return s.handleCheck(c), nil
 	})
-	peer.Handle(server, methodSync, s.answerSync)
+	peer.Handle(server, methodSync, s.handleSync)
 }
 
 // Deliver queues a received heartbeat for merging. It returns ErrOverloaded if it drops the heartbeat.
@@ -179,7 +179,7 @@
 		case id := <-l.failedSends:
 			l.table.SendFailed(l.options.Clock.Now(), id)
 		case request := <-l.syncRequests:
-			request.answer <- difference{l.table.Difference(request.summary)}
+			request.reply <- difference{l.table.Difference(request.summary)}
 		case entries := <-l.syncResults:
 			l.table.Merge(l.options.Clock.Now(), entries)
 		case current := <-l.checkResults:
--- a/pkg/membership/service_test.go
+++ b/pkg/membership/service_test.go
@@ -14,14 +14,14 @@
 )
 
 // stubSender responds to checks with the values of a channel and drops heartbeats. A check fails if the channel is empty.
-type stubSender struct{ answers chan checkAnswer }
+type stubSender struct{ answers chan checkResponse }
 
 func (s *stubSender) Notify(context.Context, string, string, any) error { return nil }
 
 func (s *stubSender) Call(_ context.Context, _, method string, _, result any) error {
 	select {
 	case a := <-s.answers:
-		if answer, ok := result.(*checkAnswer); ok && method == methodCheck {
+		if answer, ok := result.(*checkResponse); ok && method == methodCheck {
 			*answer = a
 			return nil
 		}
@@ -45,7 +45,7 @@
 	)
 	// start runs the service with clocks that the test advances.
 	start := func(list vmlist.List) {
-		manual, sender, statuses = clock.NewManual(time.Unix(5000, 0)), &stubSender{make(chan checkAnswer, 1)},
+		manual, sender, statuses = clock.NewManual(time.Unix(5000, 0)), &stubSender{make(chan checkResponse, 1)},
 			make(chan HeartbeatStatus, 4)
 		elapsed.Store(0)
 		s = NewService(Options{Self: Member{ID: "a", Region: "east", DataCentre: "e1", Incarnation: 7}, Sender: sender,
@@ -85,7 +85,7 @@
 		tick()
 		tick()
 		Expect(s.Fresh()).To(BeFalse(), "no peer has answered")
-		sender.answers <- checkAnswer{Known: true, Current: true}
+		sender.answers <- checkResponse{Known: true, Current: true}
 		tick()
 		Eventually(s.Fresh, "5s").Should(BeTrue())
 	})
@@ -96,7 +96,7 @@
 		deliver()
 		tick()
 		elapsed.Add(int64(10 * time.Second))
-		sender.answers <- checkAnswer{Known: true}
+		sender.answers <- checkResponse{Known: true}
 		tick()
 		Eventually(s.Superseded, "5s").Should(BeTrue())
 		Expect(s.Fresh()).To(BeFalse())
--- a/pkg/membership/sync.go
+++ b/pkg/membership/sync.go
@@ -53,12 +53,12 @@
 // syncRequest is a peer's summary with the channel for the difference.
 type syncRequest struct {
 	summary Summary
-	answer  chan difference
+	reply   chan difference
 }
 
-// answerSync passes a peer's summary to the goroutine that owns the table and waits for the difference. It returns
+// handleSync passes a peer's summary to the goroutine that owns the table and waits for the difference. It returns
 // ErrOverloaded if too many summaries are waiting.
-func (s *Service) answerSync(ctx context.Context, summary Summary) (difference, error) {
+func (s *Service) handleSync(ctx context.Context, summary Summary) (difference, error) {
 	request := syncRequest{summary, make(chan difference, 1)}
 	select {
 	case s.syncRequests <- request:
@@ -66,7 +66,7 @@
 		return difference{}, ErrOverloaded
 	}
 	select {
-	case d := <-request.answer:
+	case d := <-request.reply:
 		return d, nil
 	case <-ctx.Done():
 		return difference{}, errors.Wrap(ctx.Err(), "compare member tables")
--- a/pkg/operation/cluster_test.go
+++ b/pkg/operation/cluster_test.go
@@ -25,9 +25,9 @@
 // logView is the log as accessed by one VM, with injected faults.
 type logView struct {
 	log *fakeLog
-	// down makes all calls fail; loseAnswers is the number of appends that take effect but whose response is lost.
-	down        bool
-	loseAnswers int
+	// down makes all calls fail; loseResponses is the number of appends that take effect but whose response is lost.
+	down          bool
+	loseResponses int
 	// delayAppends is the number of appends that take effect only at the next applyDelayed.
 	delayAppends int
 	// hang, if set, blocks reads: a read receives one value when it starts and returns after a second value.
@@ -49,8 +49,8 @@
 	}
 	offset := v.log.first + int64(len(v.log.records))
 	v.log.records = append(v.log.records, platformlog.Record{Offset: offset, Data: text})
-	if v.loseAnswers > 0 {
-		v.loseAnswers--
+	if v.loseResponses > 0 {
+		v.loseResponses--
 		return 0, platformlog.ErrUnknownAppend
 	}
 	return offset, nil
--- a/pkg/operation/coordinator.go
+++ b/pkg/operation/coordinator.go
@@ -215,7 +215,7 @@
 }
 
 // Finish records the response to the operation.
-func (c *Coordinator) Finish(e *Entry, a Answer) { c.ledger.finish(c.clock.Now(), e, a) }
+func (c *Coordinator) Finish(e *Entry, r Response) { c.ledger.finish(c.clock.Now(), e, r) }
 
 // MarkUnknown records that the operation may have run.
 func (c *Coordinator) MarkUnknown(e *Entry) { c.ledger.markUnknown(c.clock.Now(), e) }
@@ -245,9 +245,9 @@
 	case Unknown:
 		return refusal(fasthttp.StatusConflict, problem.ReasonKeyUnknown,
 			"an earlier attempt with this key may have been run; new work takes a ticket")
-	case AnswerNotStored:
+	case ResponseNotStored:
 		return refusal(fasthttp.StatusConflict, problem.ReasonKeyUnknown,
-			"an earlier attempt with this key has completed; its answer was not kept")
+			"an earlier attempt with this key has completed; its response was not kept")
 	case Unavailable:
 		return refusal(fasthttp.StatusServiceUnavailable, problem.ReasonOwnerUnreachable,
 			"this VM may not run the key now; use a ticket").WithRetryAfter(retryDelay)
--- a/pkg/operation/export_test.go
+++ b/pkg/operation/export_test.go
@@ -3,8 +3,8 @@
 import "time"
 
 // SetBounds sets the limits of the coordinator's ledger.
-func (c *Coordinator) SetBounds(entries, answerBytes int) {
-	c.ledger.maxEntries, c.ledger.maxAnswerBytes = entries, answerBytes
+func (c *Coordinator) SetBounds(entries, responseBytes int) {
+	c.ledger.maxEntries, c.ledger.maxResponseBytes = entries, responseBytes
 }
 
 // BeginForTest starts a key that is always admitted.
--- a/pkg/operation/extension_test.go
+++ b/pkg/operation/extension_test.go
@@ -243,7 +243,7 @@
 			}
 		}
 	case n == 29:
-		v.log.loseAnswers = 3
+		v.log.loseResponses = 3
 	case n == 30:
 		v.log.delayAppends = rapid.IntRange(1, 3).Draw(m.T, "late")
 	case n == 31:
@@ -290,9 +290,9 @@
 	m.unlisted[id] = !m.isPartitioned(id)
 }
 
-// TestAtMostOnceInLogOutage guards against violations of invariants 3 and 4 while leases are extended without the log: outages
+// TestAtMostOnceInLogOutage guards against violations of invariants 3 and 4 of docs/design.md while leases are extended without the log: outages
 // for all or some VMs, lost append responses, delayed claims, pauses, kills, partitioned VMs and an outdated list. It does not
-// cover a VM that the others know neither from the list nor from heartbeats; section 5.7 of the design documents that gap.
+// cover a VM that the others know neither from the list nor from heartbeats; section 5.7 of docs/design.md documents that gap.
 func TestAtMostOnceInLogOutage(t *testing.T) {
 	checkInterleavings(t, []string{"e1", "e2", "e3"}, 100, func(m *model) {
 		// With few keys, most runs repeat a key.
--- a/pkg/operation/handover.go
+++ b/pkg/operation/handover.go
@@ -41,10 +41,10 @@
 
 // ChunkEntry is the entry of one key.
 type ChunkEntry struct {
-	Key         string  `json:"k"`
-	Fingerprint uint64  `json:"f"`
-	Unknown     bool    `json:"u,omitempty"`
-	Answer      *Answer `json:"a,omitempty"`
+	Key         string    `json:"k"`
+	Fingerprint uint64    `json:"f"`
+	Unknown     bool      `json:"u,omitempty"`
+	Response    *Response `json:"a,omitempty"`
 	// LeftMillis is the rest of the entry's window in milliseconds. The receiver measures it from the arrival, so the
 	// transit time only lengthens it.
 	LeftMillis int64 `json:"leftMs"`
@@ -82,8 +82,8 @@
 	for _, e := range l.entries[keyRange] {
 		c := l.exportEntry(now, e)
 		entrySize := len(c.Key)
-		if c.Answer != nil {
-			entrySize += c.Answer.size()
+		if c.Response != nil {
+			entrySize += c.Response.size()
 		}
 		last := &chunks[len(chunks)-1]
 		if len(last.Entries) >= maxChunkEntries || (size+entrySize > maxChunkBytes && len(last.Entries) > 0) {
@@ -102,7 +102,7 @@
 	if e.state == stateRunning {
 		left = unknownWindow
 	}
-	return ChunkEntry{Key: e.key, Fingerprint: e.fingerprint, Unknown: e.state != stateDone, Answer: e.answer,
+	return ChunkEntry{Key: e.key, Fingerprint: e.fingerprint, Unknown: e.state != stateDone, Response: e.response,
 		LeftMillis: max(0, left.Milliseconds()+1)}
 }
 
@@ -170,8 +170,8 @@
 		}
 		l.entries[keyRange][s.Key] = e
 		l.count++
-		if s.Answer != nil && !s.Unknown {
-			l.storeAnswer(e, s.Answer)
+		if s.Response != nil && !s.Unknown {
+			l.storeResponse(e, s.Response)
 		}
 		l.scheduleExpiry(e, s.expiresAt.Sub(l.start))
 	}
--- a/pkg/operation/ledger.go
+++ b/pkg/operation/ledger.go
@@ -10,10 +10,10 @@
 const (
 	// maxEntries is the maximum number of keys.
 	maxEntries = 100_000
-	// maxAnswerBytes is the maximum total size of stored responses in bytes.
-	maxAnswerBytes = 32 << 20
-	// maxAnswerSize is the maximum size of a stored response body in bytes.
-	maxAnswerSize = 64 << 10
+	// maxResponseBytes is the maximum total size of stored responses in bytes.
+	maxResponseBytes = 32 << 20
+	// maxResponseSize is the maximum size of a stored response body in bytes.
+	maxResponseSize = 64 << 10
 	// headerOverhead is the assumed memory of one header in bytes in addition to its text.
 	headerOverhead = 32
 	// ticketRange is the index of the entries that were started with a ticket. They belong to no key range.
@@ -44,8 +44,8 @@
 	Unknown
 	// Full: the memory has no room for another key; the operation was not run.
 	Full
-	// AnswerNotStored: the key has run and its response was too large to store or has been evicted.
-	AnswerNotStored
+	// ResponseNotStored: the key has run and its response was too large to store or has been evicted.
+	ResponseNotStored
 	// Unavailable: the key is new and this VM may not run it now: it does not hold the lease, or is handing over the range.
 	// Earlier attempts may have run on another VM.
 	Unavailable
@@ -57,8 +57,8 @@
 	Value string `json:"v"`
 }
 
-// Answer is the response to the first run of an operation.
-type Answer struct {
+// Response is the response to the first run of an operation.
+type Response struct {
 	Status  int      `json:"status"`
 	Headers []Header `json:"headers,omitempty"`
 	// Trailers are sent after the body.
@@ -69,9 +69,9 @@
 	Truncated bool `json:"-"`
 }
 
-func (a *Answer) size() int {
-	n := len(a.Body)
-	for _, headers := range [][]Header{a.Headers, a.Trailers} {
+func (r *Response) size() int {
+	n := len(r.Body)
+	for _, headers := range [][]Header{r.Headers, r.Trailers} {
 		for _, h := range headers {
 			n += len(h.Name) + len(h.Value) + headerOverhead
 		}
@@ -89,11 +89,11 @@
 
 // Entry is the stored state of one key. Its fields are guarded by the ledger's mutex.
 type Entry struct {
-	ledger        *Ledger
-	key           string
-	fingerprint   uint64
-	answer        *Answer
-	answerElement *list.Element
+	ledger          *Ledger
+	key             string
+	fingerprint     uint64
+	response        *Response
+	responseElement *list.Element
 	// deadline and expires are durations since the ledger's start.
 	deadline time.Duration
 	expires  time.Duration
@@ -101,11 +101,11 @@
 	state    entryState
 }
 
-// Answer returns the stored response, nil if there is none.
-func (e *Entry) Answer() *Answer {
+// Response returns the stored response, nil if there is none.
+func (e *Entry) Response() *Response {
 	e.ledger.mu.Lock()
 	defer e.ledger.mu.Unlock()
-	return e.answer
+	return e.response
 }
 
 // Deadline returns the time after which the operation must not be written to a backend server.
@@ -113,22 +113,22 @@
 
 // Ledger is the operation memory of one VM. All methods are O(1) amortised and safe for concurrent use.
 type Ledger struct {
-	mu          sync.Mutex
-	start       time.Time
-	entries     [RangeCount + 1]map[string]*Entry
-	frozen      [RangeCount]bool
-	count       int
-	answerOrder *list.List
-	answerBytes int
-	wheel       [wheelSlots][]*Entry
-	nextTick    int64
-	// maxEntries and maxAnswerBytes are the constants of the same names; tests lower them.
-	maxEntries, maxAnswerBytes int
+	mu            sync.Mutex
+	start         time.Time
+	entries       [RangeCount + 1]map[string]*Entry
+	frozen        [RangeCount]bool
+	count         int
+	responseOrder *list.List
+	responseBytes int
+	wheel         [wheelSlots][]*Entry
+	nextTick      int64
+	// maxEntries and maxResponseBytes are the constants of the same names; tests lower them.
+	maxEntries, maxResponseBytes int
 }
 
 // NewLedger returns an empty ledger. Its times are measured from start.
 func NewLedger(start time.Time) *Ledger {
-	l := &Ledger{start: start, answerOrder: list.New(), maxEntries: maxEntries, maxAnswerBytes: maxAnswerBytes}
+	l := &Ledger{start: start, responseOrder: list.New(), maxEntries: maxEntries, maxResponseBytes: maxResponseBytes}
 	for i := range l.entries {
 		l.entries[i] = map[string]*Entry{}
 	}
@@ -170,8 +170,8 @@
 		return InProgress
 	case e.state == stateUnknown:
 		return Unknown
-	case e.answer == nil:
-		return AnswerNotStored
+	case e.response == nil:
+		return ResponseNotStored
 	}
 	return Replay
 }
@@ -180,7 +180,7 @@
 func (l *Ledger) isCurrent(e *Entry) bool { return l.entries[e.keyRange][e.key] == e }
 
 // finish records the response to the operation of a running entry.
-func (l *Ledger) finish(now time.Time, e *Entry, a Answer) {
+func (l *Ledger) finish(now time.Time, e *Entry, r Response) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if e.state != stateRunning || !l.isCurrent(e) {
@@ -188,7 +188,7 @@
 	}
 	e.state = stateDone
 	l.expire(now)
-	l.storeAnswer(e, &a)
+	l.storeResponse(e, &r)
 	l.scheduleExpiry(e, now.Sub(l.start)+MemoryWindow)
 }
 
@@ -219,29 +219,29 @@
 func (l *Ledger) remove(e *Entry) {
 	delete(l.entries[e.keyRange], e.key)
 	l.count--
-	l.dropAnswer(e)
+	l.dropResponse(e)
 }
 
-// storeAnswer stores a response unless it is too large, and evicts the oldest responses until the total is within the limit.
-func (l *Ledger) storeAnswer(e *Entry, a *Answer) {
-	if a.Truncated || len(a.Body) > maxAnswerSize || a.size() > l.maxAnswerBytes {
+// storeResponse stores a response unless it is too large, and evicts the oldest responses until the total is within the limit.
+func (l *Ledger) storeResponse(e *Entry, r *Response) {
+	if r.Truncated || len(r.Body) > maxResponseSize || r.size() > l.maxResponseBytes {
 		return
 	}
-	e.answer = a
-	e.answerElement = l.answerOrder.PushBack(e)
-	l.answerBytes += a.size()
-	for l.answerBytes > l.maxAnswerBytes {
-		l.dropAnswer(l.answerOrder.Front().Value.(*Entry))
+	e.response = r
+	e.responseElement = l.responseOrder.PushBack(e)
+	l.responseBytes += r.size()
+	for l.responseBytes > l.maxResponseBytes {
+		l.dropResponse(l.responseOrder.Front().Value.(*Entry))
 	}
 }
 
-func (l *Ledger) dropAnswer(e *Entry) {
-	if e.answerElement == nil {
+func (l *Ledger) dropResponse(e *Entry) {
+	if e.responseElement == nil {
 		return
 	}
-	l.answerOrder.Remove(e.answerElement)
-	l.answerBytes -= e.answer.size()
-	e.answer, e.answerElement = nil, nil
+	l.responseOrder.Remove(e.responseElement)
+	l.responseBytes -= e.response.size()
+	e.response, e.responseElement = nil, nil
 }
 
 // scheduleExpiry sets the end of the window of a finished entry, at most unknownWindow ahead. The caller must call expire
@@ -272,8 +272,8 @@
 }
 
 // Len returns the number of keys and the total size of the stored responses in bytes.
-func (l *Ledger) Len() (keys, answerBytes int) {
+func (l *Ledger) Len() (keys, responseBytes int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.count, l.answerBytes
+	return l.count, l.responseBytes
 }
--- a/pkg/operation/operation_test.go
+++ b/pkg/operation/operation_test.go
@@ -99,14 +99,14 @@
 		}
 	},
 		Entry("running", func(*operation.Entry) {}, uint64(1), operation.InProgress),
-		Entry("done", func(e *operation.Entry) { o.Finish(e, operation.Answer{Status: 200, Body: []byte("x")}) }, uint64(1), operation.Replay),
+		Entry("done", func(e *operation.Entry) { o.Finish(e, operation.Response{Status: 200, Body: []byte("x")}) }, uint64(1), operation.Replay),
 		Entry("done, large", func(e *operation.Entry) {
-			o.Finish(e, operation.Answer{Body: make([]byte, 64<<10+1)})
-		}, uint64(1), operation.AnswerNotStored),
+			o.Finish(e, operation.Response{Body: make([]byte, 64<<10+1)})
+		}, uint64(1), operation.ResponseNotStored),
 		Entry("unknown", func(e *operation.Entry) { o.MarkUnknown(e) }, uint64(1), operation.Unknown),
 		Entry("unknown, then proved not run", func(e *operation.Entry) { o.MarkUnknown(e); o.MarkNotRun(e) }, uint64(1), operation.Unknown),
 		Entry("proved not run", func(e *operation.Entry) { o.MarkNotRun(e) }, uint64(1), operation.Run),
-		Entry("other request", func(e *operation.Entry) { o.Finish(e, operation.Answer{Status: 200}) }, uint64(2), operation.Conflict),
+		Entry("other request", func(e *operation.Entry) { o.Finish(e, operation.Response{Status: 200}) }, uint64(2), operation.Conflict),
 	)
 
 	// Guards against an entry that is removed before its window ends, also after a long time without calls.
@@ -117,7 +117,7 @@
 		_, v := begin("k", 1)
 		Expect(v).To(Equal(operation.InProgress), "a running entry does not expire")
 		c.Advance(1000 * time.Second)
-		o.Finish(e, operation.Answer{Status: 200})
+		o.Finish(e, operation.Response{Status: 200})
 		c.Advance(operation.MemoryWindow)
 		_, v = begin("k", 1)
 		Expect(v).To(Equal(operation.Replay))
@@ -131,12 +131,12 @@
 		o.SetBounds(3, 25)
 		for i := range 3 {
 			e, _ := begin(fmt.Sprint(i), 1)
-			o.Finish(e, operation.Answer{Body: make([]byte, 10)})
+			o.Finish(e, operation.Response{Body: make([]byte, 10)})
 		}
 		_, v := begin("3", 1)
 		Expect(v).To(Equal(operation.Full))
 		Expect(v.Problem().Outcome).To(Equal(problem.NotRun))
-		for i, want := range []operation.Verdict{operation.AnswerNotStored, operation.Replay, operation.Replay} {
+		for i, want := range []operation.Verdict{operation.ResponseNotStored, operation.Replay, operation.Replay} {
 			_, v = begin(fmt.Sprint(i), 1)
 			Expect(v).To(Equal(want))
 		}
--- a/pkg/operation/property_test.go
+++ b/pkg/operation/property_test.go
@@ -44,7 +44,7 @@
 
 func (m *model) now() time.Time { return m.clock.Now() }
 
-// checkOutcome checks invariant 3 for an outcome that a caller receives: not_run only if the key did not run within its
+// checkOutcome checks invariant 3 of docs/design.md for an outcome that a caller receives: not_run only if the key did not run within its
 // memory window.
 func (m *model) checkOutcome(key string, o problem.Outcome) {
 	m.stats[string(o)]++
@@ -95,7 +95,7 @@
 	case !alive:
 		return m.vms[c.vm.self.VM] != c.vm
 	case c.ran && rapid.Bool().Draw(m.T, "answered"):
-		c.vm.Finish(c.entry, operation.Answer{Status: 200})
+		c.vm.Finish(c.entry, operation.Response{Status: 200})
 		return true
 	default:
 		c.vm.MarkUnknown(c.entry)
@@ -177,7 +177,7 @@
 	case n == 25 && v != nil:
 		v.log.down = !v.log.down
 	case n == 26 && v != nil:
-		v.log.loseAnswers = 3
+		v.log.loseResponses = 3
 	case n == 27:
 		m.loseHandover = 2
 	case n == 28 && v != nil && !v.paused:
@@ -187,7 +187,7 @@
 	}
 }
 
-// TestAtMostOnce guards against violations of invariants 3 and 4 under arbitrary interleavings of pause, kill, log outage, lost
+// TestAtMostOnce guards against violations of invariants 3 and 4 of docs/design.md under arbitrary interleavings of pause, kill, log outage, lost
 // append responses, expired records, takeover and handover: a key runs at most once within its memory window, and no caller
 // receives the outcome not_run for a key that ran.
 func TestAtMostOnce(t *testing.T) {
--- a/pkg/operation/ranges_test.go
+++ b/pkg/operation/ranges_test.go
@@ -23,7 +23,7 @@
 	begin := func(v *vm, key string) (*operation.Entry, operation.Verdict) {
 		return v.Begin(c.clock.Now(), key, 1, time.Time{})
 	}
-	done := operation.Answer{Status: 201, Headers: []operation.Header{{Name: "A", Value: "b"}}, Body: []byte("x")}
+	done := operation.Response{Status: 201, Headers: []operation.Header{{Name: "A", Value: "b"}}, Body: []byte("x")}
 
 	// Guards against uneven shares, and against memory windows although no memory was lost.
 	It("are spread evenly from an empty log without a memory window", func() {
@@ -53,7 +53,7 @@
 		for _, key := range keys {
 			e, v := begin(c.owner(key), key)
 			Expect(v).To(Equal(operation.Replay))
-			Expect(*e.Answer()).To(Equal(done))
+			Expect(*e.Response()).To(Equal(done))
 		}
 		expectNoWindow(c)
 	})
--- a/pkg/peer/options.go
+++ b/pkg/peer/options.go
@@ -21,7 +21,7 @@
 	// ErrBusy reports that too many calls are in progress on the connection or at the peer. The call was not run.
 	ErrBusy = errors.New("too many concurrent calls to peer")
 	// ErrTimeout reports that no response arrived in time. The peer may have run the call. The connection is closed.
-	ErrTimeout = errors.New("peer did not answer in time")
+	ErrTimeout = errors.New("peer did not respond in time")
 	// ErrLost reports that the connection broke after the message may have been sent.
 	ErrLost = errors.New("connection to peer lost")
 	// ErrRemote reports that the peer's handler returned an error.
@@ -125,8 +125,8 @@
 	Secret string `json:"secret"`
 }
 
-// helloAnswer is the result of peer.hello.
-type helloAnswer struct {
+// helloResponse is the result of peer.hello.
+type helloResponse struct {
 	ID string `json:"id"`
 }
 
--- a/pkg/peer/pool.go
+++ b/pkg/peer/pool.go
@@ -133,7 +133,7 @@
 	metered := p.meter.wrap(raw, p.options.CallTimeout, 0)
 	rpc := jsonrpc2.NewConn(context.Background(), jsonrpc2.NewBufferedStream(metered, newCodec(p.options.FrameLimit)),
 		rejectRequests{}, jsonrpc2.SetLogger(discardLog))
-	var answer helloAnswer
+	var answer helloResponse
 	if err := rpc.Call(ctx, methodHello, helloRequest{ID: p.options.ID, Secret: p.options.Secret}, &answer); err != nil {
 		_ = rpc.Close()
 		_ = metered.Close()
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -206,7 +206,7 @@
 	}
 	ss.codec.limit.Store(int64(ss.server.options.FrameLimit))
 	ss.caller.Store(&h.ID)
-	_ = rpc.Reply(ctx, req.ID, helloAnswer{ID: ss.server.options.ID})
+	_ = rpc.Reply(ctx, req.ID, helloResponse{ID: ss.server.options.ID})
 }
 
 // handleCall runs the handler of a call and sends the response. If the result exceeds the frame limit, the response is
--- a/pkg/platformlog/client.go
+++ b/pkg/platformlog/client.go
@@ -57,7 +57,7 @@
 // neverRetry prevents the HTTP library from sending an append twice.
 func neverRetry(*fasthttp.Request, int, error) (resetTimeout, retry bool) { return false, false }
 
-type appendAnswer struct {
+type appendResponse struct {
 	Offset int64 `json:"offset"`
 }
 
@@ -87,9 +87,9 @@
 	case resp.StatusCode() != fasthttp.StatusOK:
 		return 0, errors.Wrapf(ErrUnknownAppend, "status %d", resp.StatusCode())
 	}
-	var response appendAnswer
+	var response appendResponse
 	if err := json.Unmarshal(resp.Body(), &response); err != nil {
-		return 0, errors.Wrapf(ErrUnknownAppend, "decode answer: %v", err)
+		return 0, errors.Wrapf(ErrUnknownAppend, "decode response: %v", err)
 	}
 	return response.Offset, nil
 }
@@ -122,7 +122,7 @@
 	}
 	var batch Batch
 	if err := json.Unmarshal(resp.Body(), &batch); err != nil {
-		return Batch{}, errors.Wrapf(ErrUnavailable, "decode answer: %v", err)
+		return Batch{}, errors.Wrapf(ErrUnavailable, "decode response: %v", err)
 	}
 	return batch, nil
 }
--- a/pkg/platformlog/memory.go
+++ b/pkg/platformlog/memory.go
@@ -18,12 +18,12 @@
 type Memory struct {
 	clock clock.Clock
 
-	mu          sync.Mutex
-	streams     map[string]*memoryStream
-	retention   time.Duration
-	down        bool
-	delay       time.Duration
-	lostAnswers int
+	mu            sync.Mutex
+	streams       map[string]*memoryStream
+	retention     time.Duration
+	down          bool
+	delay         time.Duration
+	lostResponses int
 }
 
 type memoryStream struct {
@@ -56,11 +56,11 @@
 	m.delay = d
 }
 
-// LoseAnswers makes the next n appends return ErrUnknownAppend although they take effect.
-func (m *Memory) LoseAnswers(n int) {
+// LoseResponses makes the next n appends return ErrUnknownAppend although they take effect.
+func (m *Memory) LoseResponses(n int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.lostAnswers = n
+	m.lostResponses = n
 }
 
 // SetRetention sets the time for which records are retained.
@@ -98,8 +98,8 @@
 	if delayErr != nil {
 		return 0, errors.Wrapf(ErrUnknownAppend, "%v", delayErr)
 	}
-	if m.lostAnswers > 0 {
-		m.lostAnswers--
+	if m.lostResponses > 0 {
+		m.lostResponses--
 		return 0, errors.Wrap(ErrUnknownAppend, "response lost")
 	}
 	return offset, nil
--- a/pkg/platformlog/memory_test.go
+++ b/pkg/platformlog/memory_test.go
@@ -54,7 +54,7 @@
 		Expect(read(0).Records).To(BeEmpty())
 	})
 	It("loses the response to an append that took effect", func() {
-		log.LoseAnswers(1)
+		log.LoseResponses(1)
 		_, err := log.Append(ctx, "s", 1)
 		Expect(errors.Is(err, platformlog.ErrUnknownAppend)).To(BeTrue())
 		Expect(read(0).Records).To(HaveLen(1))
--- a/pkg/preset/acceptor.go
+++ b/pkg/preset/acceptor.go
@@ -166,8 +166,8 @@
 
 // unconfirmed sends the request to all voters concurrently and returns the voters that did not confirm.
 func (f *Follower) unconfirmed(ctx context.Context, peers Peers, self string, voters []string, r ConfirmRequest) []string {
-	answers := queryVoters(ctx, peers, self, voters, r, f.HandleConfirm)
-	return lo.Filter(voters, func(_ string, i int) bool { return !answers[i].Confirmed })
+	responses := queryVoters(ctx, peers, self, voters, r, f.HandleConfirm)
+	return lo.Filter(voters, func(_ string, i int) bool { return !responses[i].Confirmed })
 }
 
 // dueProposal returns the oldest pending proposal whose veto period has ended. Without one, wait is the time until the next
--- a/pkg/preset/cluster_test.go
+++ b/pkg/preset/cluster_test.go
@@ -24,7 +24,7 @@
 // counts as a pause.
 const clockStep = 100 * time.Millisecond
 
-// maxVersionSkew is the maximum time for which two versions may be in force at once (invariant 7).
+// maxVersionSkew is the maximum time for which two versions may be in force at once (invariant 7 of docs/design.md).
 const maxVersionSkew = 7 * time.Second
 
 var startTime = time.Unix(1_700_000_000, 0)
@@ -338,9 +338,9 @@
 	return b, err
 }
 
-func (v *testVM) Confirm(_ context.Context, vm string, r preset.ConfirmRequest) (preset.ConfirmAnswer, error) {
+func (v *testVM) Confirm(_ context.Context, vm string, r preset.ConfirmRequest) (preset.ConfirmResponse, error) {
 	if !v.cluster.reachable(v.id, vm) {
-		return preset.ConfirmAnswer{}, preset.ErrPeerUnavailable
+		return preset.ConfirmResponse{}, preset.ErrPeerUnavailable
 	}
 	v.cluster.mu.Lock()
 	to, hook := v.cluster.vms[vm], v.cluster.onConfirm
@@ -350,7 +350,7 @@
 		hook(v.id, vm, r)
 	}
 	if !v.cluster.reachable(v.id, vm) {
-		return preset.ConfirmAnswer{}, preset.ErrPeerUnavailable // the connection was cut before the response arrived
+		return preset.ConfirmResponse{}, preset.ErrPeerUnavailable // the connection was cut before the response arrived
 	}
 	return answer, nil
 }
--- a/pkg/preset/confirm.go
+++ b/pkg/preset/confirm.go
@@ -14,7 +14,7 @@
 type confirmation struct {
 	proposal    string // empty: none
 	round       int64
-	confirmedAt time.Duration // boot time of the first confirming answer
+	confirmedAt time.Duration // boot time of the first confirming response
 }
 
 // clearIfSettled resets the confirmation if the proposal is decided or its round was aborted.
@@ -25,22 +25,22 @@
 }
 
 // HandleConfirm handles a confirm request from another VM or from this one.
-func (f *Follower) HandleConfirm(r ConfirmRequest) ConfirmAnswer {
+func (f *Follower) HandleConfirm(r ConfirmRequest) ConfirmResponse {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	answer := ConfirmAnswer{Position: f.reader.state.Position}
+	response := ConfirmResponse{Position: f.reader.state.Position}
 	p, pending := f.reader.state.Pending[r.Proposal]
-	answer.Undecided = answer.Position < r.Offset || (pending && p.Offset == r.Offset && p.Round == r.Round)
-	if answer.Reason = f.refusalReason(r); answer.Reason != "" {
-		return answer
+	response.Undecided = response.Position < r.Offset || (pending && p.Offset == r.Offset && p.Round == r.Round)
+	if response.Reason = f.refusalReason(r); response.Reason != "" {
+		return response
 	}
-	answer.Confirmed = true
+	response.Confirmed = true
 	// A repeated request does not update the time: only the first one proves that nothing was accepted before it.
 	if !r.Probe && f.confirmation.proposal == "" {
 		f.confirmation = confirmation{proposal: r.Proposal, round: r.Round, confirmedAt: f.gate.bootTime()}
 		f.gate.usableUntil.Store(int64(f.usableUntil()))
 	}
-	return answer
+	return response
 }
 
 // refusalReason returns the reason why this VM does not confirm the request, or an empty string. The caller holds the lock.
@@ -104,31 +104,31 @@
 	return requests
 }
 
-// undecidedEverywhere reports whether all voters answered that the proposal of the request is undecided.
+// undecidedEverywhere reports whether all voters responded that the proposal of the request is undecided.
 func (f *Follower) undecidedEverywhere(ctx context.Context, voters []string, r ConfirmRequest) bool {
-	answers := queryVoters(ctx, f.peers, f.fleet.Self(), voters, r, f.HandleConfirm)
-	return lo.EveryBy(answers, func(a ConfirmAnswer) bool { return a.Undecided })
+	responses := queryVoters(ctx, f.peers, f.fleet.Self(), voters, r, f.HandleConfirm)
+	return lo.EveryBy(responses, func(c ConfirmResponse) bool { return c.Undecided })
 }
 
-// queryVoters sends the request to all voters concurrently and returns their answers in the order of voters. The answer is
-// zero for a voter that does not answer within confirmTimeout.
+// queryVoters sends the request to all voters concurrently and returns their responses in the order of voters. The response is
+// zero for a voter that does not respond within confirmTimeout.
 func queryVoters(ctx context.Context, peers Peers, self string, voters []string, r ConfirmRequest,
-	handleLocally func(ConfirmRequest) ConfirmAnswer) []ConfirmAnswer {
+	handleLocally func(ConfirmRequest) ConfirmResponse) []ConfirmResponse {
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
-	answers := make([]ConfirmAnswer, len(voters))
+	responses := make([]ConfirmResponse, len(voters))
 	var group sync.WaitGroup
 	for i, vm := range voters {
 		if vm == self {
-			answers[i] = handleLocally(r)
+			responses[i] = handleLocally(r)
 			continue
 		}
 		group.Go(func() {
-			if answer, err := peers.Confirm(ctx, vm, r); err == nil {
-				answers[i] = answer
+			if response, err := peers.Confirm(ctx, vm, r); err == nil {
+				responses[i] = response
 			}
 		})
 	}
 	group.Wait()
-	return answers
+	return responses
 }
--- a/pkg/preset/fault_test.go
+++ b/pkg/preset/fault_test.go
@@ -14,7 +14,8 @@
 )
 
 // Guards against two presets in force, a refused change in force and a VM that stops admitting without need. Each entry
-// injects one fault at one step of a change. The cluster checks invariants 7 and 8 after each clock step.
+// injects one fault at one step of a change. The cluster checks invariants 7 and 8 of
+// docs/design.md after each clock step.
 var _ = DescribeTable("keeps one preset in force when a fault occurs",
 	func(scenario func(c *cluster, a, b, e *testVM)) {
 		runInBubble(func(ctx context.Context) {
@@ -32,7 +33,7 @@
 		Expect(decision.Kind).To(Equal(preset.Accepted))
 	}),
 	Entry("propose: the answer is lost", func(c *cluster, a, _, _ *testVM) {
-		c.log.LoseAnswers(1)
+		c.log.LoseResponses(1)
 		_, err := c.propose(a, 20)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(c.countRecords(preset.KindPropose)).To(Equal(1))
@@ -47,7 +48,7 @@
 		Expect(c.countRecords(preset.KindPropose)).To(BeZero())
 	}),
 	Entry("propose: the answer is lost and the log goes down", func(c *cluster, a, b, _ *testVM) {
-		c.log.LoseAnswers(1)
+		c.log.LoseResponses(1)
 		var id string
 		err := c.runWhileAdvancing(func() (err error) {
 			id, err = a.proposer.Propose(c.ctx, preset.Change{Object: preset.ObjectActive, Content: []byte(`"nosuch"`)})
@@ -93,7 +94,7 @@
 		id, err := c.propose(a, 20)
 		Expect(err).NotTo(HaveOccurred())
 		c.advance(5 * time.Second)
-		c.log.LoseAnswers(1)
+		c.log.LoseResponses(1)
 		Expect(c.runWhileAdvancing(func() error { return b.proposer.Veto(c.ctx, id, "customer") })).To(Succeed())
 		Expect(c.runWhileAdvancing(func() error { return b.proposer.Veto(c.ctx, id, "customer") })).To(Succeed())
 		c.advance(20 * time.Second)
@@ -124,7 +125,7 @@
 	Entry("accept: the answer is lost", func(c *cluster, a, _, _ *testVM) {
 		_, err := c.propose(a, 20)
 		Expect(err).NotTo(HaveOccurred())
-		c.log.LoseAnswers(1)
+		c.log.LoseResponses(1)
 		c.advanceUntil("acceptance", c.allInForce(20))
 		c.advance(30 * time.Second)
 		Expect(c.countRecords(preset.KindAccept)).To(Equal(1))
--- a/pkg/preset/peers.go
+++ b/pkg/preset/peers.go
@@ -9,8 +9,8 @@
 	"github.com/hornbeamway/hornbeamway/pkg/unit"
 )
 
-// ErrPeerUnavailable reports a peer that did not answer or whose answer cannot be used.
-var ErrPeerUnavailable = errors.New("peer did not answer")
+// ErrPeerUnavailable reports a peer that did not respond or whose response cannot be used.
+var ErrPeerUnavailable = errors.New("peer did not respond")
 
 // ConfirmRequest asks a VM to confirm that a proposal is pending there in the given round.
 type ConfirmRequest struct {
@@ -23,8 +23,8 @@
 	Probe bool `json:"probe,omitempty"`
 }
 
-// ConfirmAnswer is the answer to a ConfirmRequest.
-type ConfirmAnswer struct {
+// ConfirmResponse is the response to a ConfirmRequest.
+type ConfirmResponse struct {
 	// Confirmed is true if the proposal is pending on the VM in this round. Unless the request was a probe, the VM is then
 	// bound by its confirmation.
 	Confirmed bool `json:"confirmed"`
@@ -52,7 +52,7 @@
 // Peers sends control messages to other entry VMs.
 type Peers interface {
 	// Confirm sends a confirm request to a VM.
-	Confirm(ctx context.Context, vm string, r ConfirmRequest) (ConfirmAnswer, error)
+	Confirm(ctx context.Context, vm string, r ConfirmRequest) (ConfirmResponse, error)
 	// Fetch returns the state of a VM.
 	Fetch(ctx context.Context, vm string) (Snapshot, error)
 }
--- a/pkg/preset/proposer.go
+++ b/pkg/preset/proposer.go
@@ -235,6 +235,6 @@
 		ev.Kind = Bootstrapped
 		return ev, true, f.changed
 	}
-	ev.Kind, ev.Reason = Conflict, "the record does not count"
+	ev.Kind, ev.Reason = Conflict, "the record had no effect"
 	return ev, true, f.changed
 }
--- a/pkg/proxy/operation.go
+++ b/pkg/proxy/operation.go
@@ -63,7 +63,7 @@
 	if err != nil {
 		return p.finishFailedOperation(entry, asProblem(err))
 	}
-	return p.finishAnsweredOperation(c, entry)
+	return p.finishCompletedOperation(c, entry)
 }
 
 // finishFailedOperation finishes the entry of an operation that got no response.
@@ -76,24 +76,24 @@
 	return failure
 }
 
-// finishAnsweredOperation finishes the entry of an operation that got a response, and stores the response for repeats
+// finishCompletedOperation finishes the entry of an operation that got a response, and stores the response for repeats
 // of the key.
-func (p *Proxy) finishAnsweredOperation(c *call, entry *operation.Entry) error {
+func (p *Proxy) finishCompletedOperation(c *call, entry *operation.Entry) error {
 	resp := &c.ctx.Response
 	removeFromResponse(&resp.Header)
 	body, complete, err := bufferBody(resp)
 	if err != nil {
 		p.Operations.MarkUnknown(entry)
-		return problem.New(fasthttp.StatusBadGateway, problem.Unknown, problem.ReasonUpstream, "the answer was cut short")
+		return problem.New(fasthttp.StatusBadGateway, problem.Unknown, problem.ReasonUpstream, "the response of the backend server was cut short")
 	}
-	answer := operation.Answer{Status: resp.StatusCode(), Body: body, Truncated: !complete}
+	stored := operation.Response{Status: resp.StatusCode(), Body: body, Truncated: !complete}
 	for name, value := range resp.Header.All() {
-		answer.Headers = append(answer.Headers, operation.Header{Name: string(name), Value: string(value)})
+		stored.Headers = append(stored.Headers, operation.Header{Name: string(name), Value: string(value)})
 	}
 	for _, name := range resp.Header.PeekTrailerKeys() {
-		answer.Trailers = append(answer.Trailers, operation.Header{Name: string(name), Value: string(resp.Header.PeekBytes(name))})
+		stored.Trailers = append(stored.Trailers, operation.Header{Name: string(name), Value: string(resp.Header.PeekBytes(name))})
 	}
-	p.Operations.Finish(entry, answer)
+	p.Operations.Finish(entry, stored)
 	return nil
 }
 
@@ -128,19 +128,19 @@
 
 // replay writes the stored response of a key.
 func replay(resp *fasthttp.Response, entry *operation.Entry) error {
-	answer := entry.Answer()
-	if answer == nil {
-		return operation.AnswerNotStored.Problem()
+	stored := entry.Response()
+	if stored == nil {
+		return operation.ResponseNotStored.Problem()
 	}
-	resp.SetStatusCode(answer.Status)
-	for _, h := range answer.Headers {
+	resp.SetStatusCode(stored.Status)
+	for _, h := range stored.Headers {
 		if h.Name == fasthttp.HeaderContentLength {
 			continue
 		}
 		resp.Header.Add(h.Name, h.Value)
 	}
-	resp.SetBody(answer.Body)
-	for _, t := range answer.Trailers {
+	resp.SetBody(stored.Body)
+	for _, t := range stored.Trailers {
 		if err := resp.Header.AddTrailer(t.Name); err != nil {
 			return errors.Wrapf(err, "trailer %q", t.Name)
 		}
--- a/pkg/server/fleet.go
+++ b/pkg/server/fleet.go
@@ -97,8 +97,8 @@
 }
 
 // Confirm implements preset.Peers.
-func (f *fleet) Confirm(ctx context.Context, vm string, r preset.ConfirmRequest) (preset.ConfirmAnswer, error) {
-	return callVM[preset.ConfirmAnswer](ctx, f, vm, methodConfirm, r)
+func (f *fleet) Confirm(ctx context.Context, vm string, r preset.ConfirmRequest) (preset.ConfirmResponse, error) {
+	return callVM[preset.ConfirmResponse](ctx, f, vm, methodConfirm, r)
 }
 
 // Fetch implements preset.Peers.
--- a/pkg/server/heartbeat.go
+++ b/pkg/server/heartbeat.go
@@ -27,7 +27,7 @@
 
 // registerPreset registers the RPC methods for the configuration of other entry VMs.
 func registerPreset(server *peer.Server, follower *preset.Follower) {
-	peer.Handle(server, methodConfirm, func(_ context.Context, r preset.ConfirmRequest) (preset.ConfirmAnswer, error) {
+	peer.Handle(server, methodConfirm, func(_ context.Context, r preset.ConfirmRequest) (preset.ConfirmResponse, error) {
 		return follower.HandleConfirm(r), nil
 	})
 	peer.Handle(server, methodFetch, func(context.Context, struct{}) (preset.Snapshot, error) {
--- a/pkg/server/probing.go
+++ b/pkg/server/probing.go
@@ -43,7 +43,7 @@
 		cost := probeCost(effective, key.Service)
 		for _, s := range runner.ServerStates() {
 			server := s.Server()
-			targets = append(targets, measure.Target{ID: server.ID, Address: server.Address, LastResponse: s.LastAnswer(), StatedTime: cost})
+			targets = append(targets, measure.Target{ID: server.ID, Address: server.Address, LastResponse: s.LastResponse(), StatedTime: cost})
 		}
 	}
 	return targets
--- a/pkg/vmlist/list.go
+++ b/pkg/vmlist/list.go
@@ -73,8 +73,8 @@
 		http: &fasthttp.Client{Dial: traffic.MeterFor("vmlist").Dial, NoDefaultUserAgentHeader: true}}
 }
 
-// answer is the body of a response of the list service.
-type answer struct {
+// listBody is the body of a response of the list service.
+type listBody struct {
 	VMs []VM `json:"vms"`
 }
 
@@ -98,10 +98,10 @@
 	default:
 		return c.last, false, errors.Wrapf(ErrUnavailable, "unexpected HTTP status %d", resp.StatusCode())
 	}
-	var a answer
-	if err := json.Unmarshal(resp.Body(), &a); err != nil {
+	var body listBody
+	if err := json.Unmarshal(resp.Body(), &body); err != nil {
 		return c.last, false, errors.Wrapf(ErrUnavailable, "failed to decode the response: %v", err)
 	}
-	c.etag, c.last = string(resp.Header.Peek(fasthttp.HeaderETag)), a.VMs
+	c.etag, c.last = string(resp.Header.Peek(fasthttp.HeaderETag)), body.VMs
 	return c.last, true, nil
 }
