comments: plain terms on the data path and the directory

Comments of tests that cite docs/design.md are wrapped. Reasons and numbers are kept. ingress needed nothing.

Left: heardAt in pkg/balance, silentSince and silent in pkg/loadshare (names; balance is edited by others).

--- a/cmd/hornbeamlab/soak.go
+++ b/cmd/hornbeamlab/soak.go
@@ -19,7 +19,7 @@
 	VMs     int      `arg:"--vms" default:"6" help:"number of entry VMs, at least 2"`
 	Servers int      `arg:"--servers" default:"4" help:"number of backend servers of each of the four services"`
 	Callers int      `arg:"--callers" default:"24" help:"number of callers"`
-	Network uint64   `arg:"--network" default:"1" help:"number of the loopback network, different for each of the runs on one machine at the same time"`
+	Network uint64   `arg:"--network" default:"1" help:"number of the loopback network; runs at the same time need different ones"`
 	Only    []string `arg:"--only" help:"limits the faults to those whose name begins so, for example vm.pause store"`
 }
 
--- a/pkg/availability/recorder.go
+++ b/pkg/availability/recorder.go
@@ -1,6 +1,6 @@
 // Package availability applies what backend servers state about their availability in their responses: that they are leaving, or
 // that they want no requests for some time. The balancer keeps the statements; this package logs and counts them
-// and tells the peer VMs.
+// and publishes it to the peer VMs.
 package availability
 
 import (
--- a/pkg/balance/availability.go
+++ b/pkg/balance/availability.go
@@ -22,7 +22,7 @@
 	// rampUpTime is the time after a hold in which a server gets a growing share of its usual requests. If it got all of them at
 	// once, it would have to refuse them again.
 	rampUpTime = time.Second
-	// peerLeavingTTL is how long a server is not used because a peer VM was told that it is leaving. It covers the time in which a
+	// peerLeavingTTL is how long a server is not used after it stated to a peer VM that it is leaving. It covers the time in which a
 	// leaving server usually exits.
 	peerLeavingTTL = 30 * time.Second
 	// otherStartTTL is how long a statement also applies to a start of the server other than the one that was listed when this VM
@@ -157,7 +157,7 @@
 	return change
 }
 
-// RecordPeerLeaving applies that a listed server has told a peer VM that it is leaving. It returns the server if that was not known,
+// RecordPeerLeaving applies that a listed server has stated to a peer VM that it is leaving. It returns the server if that was not known,
 // and nil otherwise.
 func (b *Balancer) RecordPeerLeaving(key ServerKey, now time.Time) *directory.Server {
 	b.mu.Lock()
--- a/pkg/directory/follower.go
+++ b/pkg/directory/follower.go
@@ -198,7 +198,7 @@
 	}
 }
 
-// resetFailures forgets the failed reads if another VM has read the store since the last one: the outage has ended.
+// resetFailures resets the count of failed reads if another VM has read the store since the last one: the outage has ended.
 func (f *Follower) resetFailures() {
 	age, confirmed := f.state.Age()
 	if f.failures == 0 || !confirmed || age >= f.clock.Now().Sub(f.failedAt) {
--- a/pkg/directory/servers.go
+++ b/pkg/directory/servers.go
@@ -159,8 +159,8 @@
 }
 
 // removeLapsedLocked removes the servers whose lapsed records were not published again within the grace period. No record of the
-// store says so, and the revision stays: all VMs with the present revision know that the record lapsed. Those with an earlier one
-// are told of the removal, which the history holds at the present revision.
+// store states the removal, and the revision does not change: all VMs with the present revision know that the record lapsed. Those
+// with an earlier one get the removal with the changes, because the history holds it at the present revision.
 func (s *State) removeLapsedLocked(now time.Time) bool {
 	removed := false
 	for id, until := range s.lapsed {
--- a/pkg/directory/state.go
+++ b/pkg/directory/state.go
@@ -150,7 +150,7 @@
 		return
 	}
 	s.graceUntil = now.Add(lapsedGracePeriod)
-	klog.InfoS("store recovered from an outage", "away", now.Sub(s.confirmedAt))
+	klog.InfoS("store recovered from an outage", "duration", now.Sub(s.confirmedAt))
 }
 
 // maxReaders bounds the readers in State.lastReadings. A reading of a dropped reader may be applied once more.
--- a/pkg/directory/types.go
+++ b/pkg/directory/types.go
@@ -14,7 +14,7 @@
 
 // Errors of a Store.
 var (
-	// ErrUnavailable reports a call that the store did not answer or refused.
+	// ErrUnavailable reports a call to which the store did not respond, or that it refused.
 	ErrUnavailable = errors.New("store unavailable")
 	// ErrExpired reports that the store no longer retains the records at the requested offset.
 	ErrExpired = errors.New("records have expired")
--- a/pkg/entryvm/lifecycle.go
+++ b/pkg/entryvm/lifecycle.go
@@ -129,10 +129,13 @@
 	}
 }
 
-// drain fails the health checks and waits until no request is in flight. After deadlineLimitDelay, when only open connections bring
-// further requests, those whose deadline is not before the exit are refused: they could be cut off while a server runs them. From refusalMargin before the end of the shutdown timeout all new requests are refused. Before that, drain
-// returns only after healthCheckDetectionTime and without open connections, and at any time only after quietPeriod. It returns at
-// the latest exitMargin before the end of the timeout.
+// drain fails the health checks and waits until no request is in flight.
+//   - After deadlineLimitDelay, when further requests arrive on open connections only, those whose deadline is not before the exit
+//     are refused: they could be cut off while a server runs them.
+//   - From refusalMargin before the end of the shutdown timeout all new requests are refused.
+//   - Before refusalMargin, drain returns only after healthCheckDetectionTime and without open connections, and at any time only
+//     after quietPeriod.
+//   - It returns at the latest exitMargin before the end of the timeout.
 func (v *vm) drain() {
 	started := time.Now()
 	klog.InfoS("received stop signal; health checks now fail",
--- a/pkg/gateway/dialect.go
+++ b/pkg/gateway/dialect.go
@@ -38,7 +38,7 @@
 
 // ResponseHead holds the values of a server's response head.
 type ResponseHead struct {
-	// RequestID is the id of the request that is answered; empty if it is not stated.
+	// RequestID is the id of the request to which the server responds; empty if it is not stated.
 	RequestID string
 	// Signed is true if the response carries the server's signature.
 	Signed bool
--- a/pkg/gateway/responsebuffer.go
+++ b/pkg/gateway/responsebuffer.go
@@ -94,8 +94,8 @@
 }
 
 // buffer reads a response of up to maxBufferedResponse bytes into memory by the deadline, as far as the budget allows. Any other
-// remains a stream that ends at the deadline, so that a server which falls silent, or a caller who reads slowly, does not hold it
-// for longer.
+// remains a stream that ends at the deadline, so that neither a server that stops sending nor a caller that reads slowly holds
+// it for longer.
 func (b *bufferBudget) buffer(resp *fasthttp.Response, deadline time.Time) error {
 	stream, ok := resp.BodyStream().(*upstream.Body)
 	if !ok {
--- a/pkg/gateway/wait.go
+++ b/pkg/gateway/wait.go
@@ -24,7 +24,7 @@
 )
 
 // waitLimits says how long a request yields to the urgent requests of its service. A request with a long objective for its work,
-// such as a download, loses nothing by waiting, while an urgent one that finds no slot is refused or late.
+// such as a download, still meets it after a wait, while an urgent one that finds no slot is refused or late.
 type waitLimits struct {
 	yields bool
 	// yield is the time from its arrival for which the request needs spareSlots, and last that until which it waits.
@@ -48,8 +48,8 @@
 	return 1
 }
 
-// ownRegion reports whether the request, the given time after its arrival, rather waits than crosses the link between regions,
-// which is narrow and paid by volume.
+// ownRegion reports whether the request, the given time after its arrival, waits rather than use the link between regions, whose
+// bandwidth is small and whose traffic is billed by volume.
 func (w waitLimits) ownRegion(elapsed time.Duration) bool { return w.yields && elapsed < w.yield }
 
 // awaitServer returns the server for the first attempt. A request that yields to urgent ones waits here for a server with spare
--- a/pkg/loadshare/aggregator.go
+++ b/pkg/loadshare/aggregator.go
@@ -52,7 +52,7 @@
 	event  Event
 }
 
-// summary is what a subscriber is told next.
+// summary is the content of the next summary for one subscriber.
 type summary struct {
 	subscriber netip.AddrPort
 	// complete means that the counts of all servers are sent, not only those of the servers in events.
@@ -120,7 +120,7 @@
 	return max(minSummarySpacing, time.Duration(len(a.subscribers))*time.Second/maxSummariesPerSecond)
 }
 
-// next removes expired subscribers and returns the summaries that are due. A subscriber is not told its own events.
+// next removes expired subscribers and returns the summaries that are due. A subscriber does not get its own events.
 func (a *aggregator) next(now time.Time) []summary {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/pkg/loadshare/contacts.go
+++ b/pkg/loadshare/contacts.go
@@ -14,11 +14,11 @@
 	heartbeatContacts = 4
 	summaryContacts   = 16
 	maxReplyContacts  = 40
-	// wellKnownShare is the share of the VMs that a VM must know so that it is not told of others at its first datagram.
+	// wellKnownShare is the share of the VMs that a VM must know so that it gets no contacts in reply to its first datagram.
 	wellKnownShare = 0.9
 )
 
-// needsContacts reports whether a VM that sent its first datagram should be told of others at once. In a large region most VMs
+// needsContacts reports whether a VM that sent its first datagram should get contacts at once. In a large region most VMs
 // already know most others from their aggregator.
 func (s *Sharer) needsContacts(m *message) bool {
 	return !s.aggregated || float64(m.known) < wellKnownShare*float64(len(s.peers)+1)
@@ -53,7 +53,7 @@
 	return lo.Map(lo.Samples(s.livePeers(), heartbeatContacts), func(p *peer, _ int) contact { return p.contact(now) })
 }
 
-// rotatingContacts returns the next summaryContacts live VMs of the region in each round, so that a subscriber hears of all of
+// rotatingContacts returns the next summaryContacts live VMs of the region in each round, so that a subscriber learns of all of
 // them within a bounded time.
 func (s *Sharer) rotatingContacts(round int, now time.Time) []contact {
 	region := s.liveInRegion()
--- a/pkg/loadshare/peers.go
+++ b/pkg/loadshare/peers.go
@@ -151,7 +151,7 @@
 	return removed
 }
 
-// updateAggregated decides how counts are shared. VMs count here as long as any VM hears of them: a VM that already uses
+// updateAggregated decides how counts are shared. VMs count here as long as any VM receives their datagrams: a VM that already uses
 // aggregators sends too few heartbeats to those that do not yet.
 func (s *Sharer) updateAggregated(now time.Time) {
 	recent := lo.Filter(lo.Values(s.peers), func(p *peer, _ int) bool {
--- a/pkg/loadshare/receive.go
+++ b/pkg/loadshare/receive.go
@@ -41,7 +41,7 @@
 // acceptance is what applies of a datagram.
 type acceptance struct {
 	events, counts bool
-	// reply means that the sender is to be told of other VMs. removed holds VMs whose counts are no longer valid.
+	// reply means that the sender gets a heartbeat with contacts. removed holds VMs whose counts are no longer valid.
 	reply   bool
 	removed []netip.AddrPort
 }
@@ -120,7 +120,7 @@
 	}
 }
 
-// recordLeaving records that a server has told another VM that it is leaving.
+// recordLeaving records that a server has stated to another VM that it is leaving.
 func (s *Sharer) recordLeaving(key balance.ServerKey, vm string, now time.Time) {
 	if server := s.Balancer.RecordPeerLeaving(key, now); server != nil {
 		klog.InfoS("another VM reports that a server is leaving", "server", server.ID, "service", server.Service, "reportedBy", vm)
--- a/pkg/loadshare/subscription.go
+++ b/pkg/loadshare/subscription.go
@@ -38,7 +38,7 @@
 	applied netip.AddrPort
 }
 
-// silent reports whether p has stopped sending and either did so recently or has not been heard of since.
+// silent reports whether p has stopped sending and either did so recently or no datagram of it has been received or reported since.
 func (p *peer) silent(now time.Time) bool {
 	if p.silentSince.IsZero() {
 		return false
@@ -91,7 +91,7 @@
 	klog.InfoS("aggregator became silent", "vm", p.name, "address", p.address, "silence", now.Sub(p.lastReceived))
 }
 
-// updateSource subscribes to another aggregator if the present one is silent or is none any more. The VMs of a data centre are
+// updateSource subscribes to another aggregator if the present one is silent or no longer an aggregator. The VMs of a data centre are
 // divided among its aggregators by rendezvous hashing.
 func (s *Sharer) updateSource(now time.Time) {
 	sub := &s.subscription
--- a/pkg/loadshare/targets.go
+++ b/pkg/loadshare/targets.go
@@ -45,7 +45,7 @@
 		case readsStore, s.isAggregator && dataCentre == s.DataCentre && round%aggregatorRounds == 0:
 			targets = append(targets, addresses...)
 		case round%contactRounds == 0:
-			// The aggregators pass on whom they hear of, so that all VMs of their data centre soon know this one.
+			// The aggregators send the VMs that they know as contacts, so that all VMs of their data centre soon know this one.
 			targets = append(targets, lo.Union(lo.Samples(addresses, contactsPerRound), s.aggregatorsOf(dataCentre))...)
 		}
 	}
--- a/pkg/operation/extension_test.go
+++ b/pkg/operation/extension_test.go
@@ -290,9 +290,10 @@
 	m.unlisted[id] = !m.isPartitioned(id)
 }
 
-// TestAtMostOnceInLogOutage guards against violations of invariants 3 and 4 of docs/design.md while leases are extended without the log: outages
-// for all or some VMs, lost append responses, delayed claims, pauses, kills, partitioned VMs and an outdated list. It does not
-// cover a VM that the others know neither from the list nor from heartbeats; section 5.7 of docs/design.md documents that gap.
+// TestAtMostOnceInLogOutage guards against violations of invariants 3 and 4 of docs/design.md while leases are extended without the
+// log: outages for all or some VMs, lost append responses, delayed claims, pauses, kills, partitioned VMs and an outdated list. It
+// does not cover a VM that the others know neither from the list nor from heartbeats; section 5.7 of docs/design.md documents that
+// gap.
 func TestAtMostOnceInLogOutage(t *testing.T) {
 	checkInterleavings(t, []string{"e1", "e2", "e3"}, 100, func(m *model) {
 		// With few keys, most runs repeat a key.
--- a/pkg/operation/property_test.go
+++ b/pkg/operation/property_test.go
@@ -44,8 +44,8 @@
 
 func (m *model) now() time.Time { return m.clock.Now() }
 
-// checkOutcome checks invariant 3 of docs/design.md for an outcome that a caller receives: not_run only if the key did not run within its
-// memory window.
+// checkOutcome checks invariant 3 of docs/design.md for an outcome that a caller receives: not_run only if the key did not
+// run within its memory window.
 func (m *model) checkOutcome(key string, o problem.Outcome) {
 	m.stats[string(o)]++
 	if at, ok := m.ranAt[key]; ok && o == problem.NotRun && m.now().Sub(at) < operation.MemoryWindow {
@@ -187,8 +187,8 @@
 	}
 }
 
-// TestAtMostOnce guards against violations of invariants 3 and 4 of docs/design.md under arbitrary interleavings of pause, kill, log outage, lost
-// append responses, expired records, takeover and handover: a key runs at most once within its memory window, and no caller
+// TestAtMostOnce guards against violations of invariants 3 and 4 of docs/design.md under arbitrary interleavings of pause, kill,
+// log outage, lost append responses, expired records, takeover and handover: a key runs at most once within its memory window, and no caller
 // receives the outcome not_run for a key that ran.
 func TestAtMostOnce(t *testing.T) {
 	checkInterleavings(t, []string{"e1", "e2", "e3", "e4"}, 150, (*model).act)
--- a/pkg/preset/fault_test.go
+++ b/pkg/preset/fault_test.go
@@ -14,8 +14,8 @@
 )
 
 // Guards against two presets in force, a refused change in force and a VM that stops admitting without need. Each entry
-// injects one fault at one step of a change. The cluster checks invariants 7 and 8 of
-// docs/design.md after each clock step.
+// injects one fault at one step of a change. The cluster checks invariants 7 and 8 of docs/design.md after each
+// clock step.
 var _ = DescribeTable("keeps one preset in force when a fault occurs",
 	func(scenario func(c *cluster, a, b, e *testVM)) {
 		runInBubble(func(ctx context.Context) {
--- a/pkg/preset/state_test.go
+++ b/pkg/preset/state_test.go
@@ -134,8 +134,8 @@
 	return gen.state.Apply(r)
 }
 
-// Guards against violations of invariant 8 of docs/design.md for any order of records, including repeats: exactly one preset is in force, a
-// refused change never comes into force, versions never decrease, and a reader that starts from a snapshot reaches the same
+// Guards against violations of invariant 8 of docs/design.md for any order of records, including repeats: exactly one preset is in
+// force, a refused change never comes into force, versions never decrease, and a reader that starts from a snapshot reaches the same
 // state as one that starts at the beginning.
 var _ = It("keeps the invariants under arbitrary interleavings", func() {
 	rapid.Check(GinkgoTB(), func(t *rapid.T) {
--- a/pkg/prober/prober.go
+++ b/pkg/prober/prober.go
@@ -50,7 +50,7 @@
 
 // ResponseHead holds the values of the head of the response to a probe.
 type ResponseHead struct {
-	// RequestID is the id of the request that is answered, empty in a response to a probe, which has none.
+	// RequestID is the id of the request to which the server responds; empty in a response to a probe, which has no id.
 	RequestID string
 	// ServerID is the id of the server that sent the response; empty if it is not stated.
 	ServerID string
@@ -222,7 +222,7 @@
 }
 
 // classify returns how a response relates to a probe. One that names a request is a late copy of the response to that request, which
-// went over the same connection: its load report and Retry-After have passed.
+// went over the same connection: its load report and Retry-After are out of date.
 func (p *Prober) classify(h *fasthttp.ResponseHeader) upstream.Verdict {
 	if p.Responses.ReadProbe(h).RequestID != "" {
 		return upstream.Foreign
@@ -230,8 +230,8 @@
 	return upstream.Accepted
 }
 
-// finishBody reads a streamed body of up to maxProbeBody bytes to its end, so that its connection can be used again. A longer one
-// ends with its connection.
+// finishBody reads a streamed body of up to maxProbeBody bytes to its end, so that its connection can be used again. The
+// connection of a longer one is closed.
 func finishBody(resp *fasthttp.Response, deadline time.Time) error {
 	body, streamed := resp.BodyStream().(*upstream.Body)
 	if !streamed {
