proxy: a connection to a server is closed after a refusal

Callers of the project's own form (--config) were told that an operation had not run although a server ran it, and operations ran twice.

Cause: responses of this form name no request, so that the late copy of a refusal was taken for the response to the next request on the same connection.

Change: the proxy tells the transport which responses are refusals, and the transport does not reuse a connection after the refusal of a request without an id. Requests with an id keep to the finer rule.

Why it works: the copy arrives on the connection of the original, which carries no further request. Each refusal costs a new connection; refusals are rare there, because a dispatcher sends no more requests than a server has slots.

Measured: go test -race ./pkg/proxy: 4 of 4 entries of "copy of a refusal" failed before and pass now, as do the other specs of pkg/proxy and pkg/upstream. The new spec of pkg/upstream was not run without the change.

--- a/pkg/proxy/attempt.go
+++ b/pkg/proxy/attempt.go
@@ -81,6 +81,14 @@
 // reportsNotRun reports whether the backend server states that it did not run the call.
 func reportsNotRun(h *fasthttp.ResponseHeader) bool { return len(h.Peek(headerNotRun)) > 0 }
 
+// refusalVerdict tells the transport which responses are refusals. All are responses to the call, because they name none.
+func refusalVerdict(h *fasthttp.ResponseHeader) upstream.Verdict {
+	if reportsNotRun(h) {
+		return upstream.Refused
+	}
+	return upstream.Accepted
+}
+
 // classifyResponse distinguishes a response to a call that was not run, a failure of the server and a success. A server
 // that reports that it is draining gets no new work, whatever its response is.
 func classifyResponse(h *fasthttp.ResponseHeader, status int) dispatch.ResultClass {
--- a/pkg/proxy/dispatch.go
+++ b/pkg/proxy/dispatch.go
@@ -193,6 +193,7 @@
 		Deadline:         c.deadline,
 		FirstByteTimeout: p.firstByteTimeout(c, a.pool),
 		BeforeWrite:      func() error { return p.checkBeforeWrite(c, req) },
+		Classify:         refusalVerdict,
 	}
 	err := p.send(ctx, p.Backends, c, attempt, req, a.resp)
 	latency := p.Clock.Now().Sub(started)
--- a/pkg/upstream/host.go
+++ b/pkg/upstream/host.go
@@ -51,8 +51,13 @@
 // maxRefusals is the number of refusals after which a connection is not reused, which bounds conn.refused.
 const maxRefusals = 64
 
-// recordRefusal records that a request was refused on this connection.
+// recordRefusal records that a request was refused on this connection. If responses do not name the request, a late copy of the
+// refusal could not be told from the response to any later request, so that the connection is not reused.
 func (c *conn) recordRefusal(requestID string) {
+	if requestID == "" {
+		c.noReuse = true
+		return
+	}
 	c.refused = append(c.refused, xxhash.Sum64String(requestID))
 	if len(c.refused) >= maxRefusals {
 		c.noReuse = true
--- a/pkg/upstream/latecopy_test.go
+++ b/pkg/upstream/latecopy_test.go
@@ -76,4 +76,15 @@
 		}
 		Expect(s.connections.Load()).To(BeNumerically(">", 2))
 	})
+
+	// Guards against the copy of a refusal that is read as the response to the next request, where responses do not name requests.
+	It("does not reuse a connection after a refusal of a request without an id", func() {
+		s := serve(func(_ int, _ string, c net.Conn) bool { return writeResponse(c, "refused") })
+		for range 2 {
+			Expect(transport.RoundTrip(ctx, upstream.Attempt{Address: s.address,
+				Classify: func(*fasthttp.ResponseHeader) upstream.Verdict { return upstream.Refused },
+			}, request("POST", "/"), resp)).To(Succeed())
+		}
+		Expect(s.connections.Load()).To(BeEquivalentTo(2))
+	})
 })
--- a/pkg/upstream/transport.go
+++ b/pkg/upstream/transport.go
@@ -92,8 +92,9 @@
 	FirstByteTimeout time.Duration
 	// BeforeWrite is called right before the first byte is written. If it fails, the attempt fails and nothing is written.
 	BeforeWrite func() error
-	// RequestID is the id by which responses name the request. A request is not sent on a connection on which it was refused:
-	// a late copy of the refusal would name it, too. Classify recognizes a refusal.
+	// RequestID is the id by which responses name the request; empty if they do not. A request is not sent on a connection on which
+	// it was refused: a late copy of the refusal would name it, too. Without an id, a connection is not reused after a refusal.
+	// Classify recognizes a refusal.
 	RequestID string
 	// Classify returns how a response relates to the request. Nil: every response is accepted.
 	Classify func(h *fasthttp.ResponseHeader) Verdict
