--- a/pkg/proxy/head_test.go
+++ b/pkg/proxy/head_test.go
@@ -1,6 +1,7 @@
 package proxy_test
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -248,3 +249,21 @@
 		Expect(calls.Load()).To(BeZero())
 	})
 })
+
+// Guards against a request whose head announces chunks of which none is sent: its server waits for them until the deadline.
+var _ = Describe("a request without a body that is sent in chunks", func() {
+	It("is sent to its end", func() {
+		address := startBackend(func(_ http.ResponseWriter, r *http.Request) { _, _ = io.Copy(io.Discard, r.Body) })
+		for _, v := range localAndForwarding(address) {
+			By(v.name)
+			c, err := net.Dial("tcp", v.callers)
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(c.Close)
+			_, err = io.WriteString(c, "GET /view HTTP/1.1\r\nHost: h\r\nX-Deadline-Ms: 300\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n")
+			Expect(err).NotTo(HaveOccurred())
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(resp.StatusCode).To(Equal(200))
+		}
+	})
+})
