gateway, proxy: a GET in chunks without a body is sent with its length

Callers saw 504 at the deadline for a GET or HEAD whose body is empty and sent in chunks. If the server refused such a request before it had read its body and kept the connection, it took the next request on that connection, of any caller, for the rest of the body.

Cause: the HTTP library sends a GET or HEAD with an empty buffered body without a body, but keeps the Transfer-Encoding of the caller's head.

Change: a buffered body that the caller sent in chunks is sent with its length, in both forms.

Why it works: the head of a buffered request states the length of what follows it.

--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -200,7 +200,7 @@
 	if c.stream != nil {
 		req.SetBodyStream(c.stream, c.stream.Length)
 	} else {
-		req.SetBodyRaw(c.body)
+		ingress.SetBufferedBody(req, c.body)
 	}
 	return req
 }
--- /dev/null
+++ b/pkg/gateway/earlyrefusal_test.go
@@ -0,0 +1,93 @@
+package gateway_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// startEarlyRefuser starts a server that writes the given number of refusals of its first request before it reads the body of that
+// request, and then reads on. It runs each further request.
+func startEarlyRefuser(refusals int) *backend {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(l.Close)
+	b := &backend{address: l.Addr().String()}
+	serve := func(c net.Conn) {
+		defer c.Close()
+		for reader := bufio.NewReader(c); ; {
+			req, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			r := &receivedRequest{Request: req}
+			b.mu.Lock()
+			b.seen = append(b.seen, r)
+			first := len(b.seen) == 1
+			b.mu.Unlock()
+			for i := 0; first && i < refusals; i++ {
+				writeResponse(c, r, 503, "", "Not-Run: 1")
+			}
+			if r.body, err = io.ReadAll(req.Body); err != nil {
+				return
+			}
+			if !first {
+				respondCorrectly(r, c)
+			}
+		}
+	}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serve(c)
+		}
+	}()
+	return b
+}
+
+var _ = Describe("Gateway with a server that answers before it has read the request", func() {
+	send := func(f *fixture, method, path, framing string) *http.Response {
+		c := f.dial()
+		_, err := fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: h\r\nId: view\r\nWait: 2000\r\n%s", method, path, framing)
+		Expect(err).NotTo(HaveOccurred())
+		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		Expect(err).NotTo(HaveOccurred())
+		return resp
+	}
+	const emptyChunks = "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+	large := strings.Repeat("x", 2<<20)
+	largeBodyFraming := fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(large), large)
+	largeChunksFraming := fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(large), large)
+
+	// Guards against a request whose head announces chunks of which none is sent: its server waits for them until the deadline.
+	DescribeTable("sends a request without a body to its end", func(method string) {
+		f := startGateway(startBackend(respondCorrectly))
+		Expect(send(f, method, "/once/", emptyChunks).StatusCode).To(Equal(200))
+	}, Entry(nil, "GET"), Entry(nil, "HEAD"), Entry(nil, "POST"))
+
+	// Guards against the next request on a connection that the server reads as the body of the one before, and against the copy of a
+	// refusal that is taken for its response.
+	DescribeTable("sends the next request to where the server expects one", func(refusals int, method, framing string) {
+		b := startEarlyRefuser(refusals)
+		f := startGateway(b)
+		Expect(send(f, method, "/upload/", framing).StatusCode).To(Equal(503))
+		Expect(f.roundTrip("POST", "/once/", "order").StatusCode).To(Equal(200))
+		Expect(b.count()).To(Equal(2))
+		Expect(b.last().Header.Get("Id")).To(Equal("order"))
+	},
+		Entry("after no chunks", 1, "GET", emptyChunks),
+		Entry("after a large body", 1, "POST", largeBodyFraming),
+		Entry("after a large body and two refusals", 2, "POST", largeBodyFraming),
+		Entry("after large chunks", 1, "POST", largeChunksFraming),
+		Entry("after large chunks and two refusals", 2, "POST", largeChunksFraming),
+	)
+})
--- a/pkg/ingress/header.go
+++ b/pkg/ingress/header.go
@@ -112,3 +112,15 @@
 	}
 	return names
 }
+
+// chunkedLength is the library's content length of a message in chunks.
+const chunkedLength = -1
+
+// SetBufferedBody sets the body of a request to a server. The library sends no body for an empty one of a GET or HEAD request, but keeps
+// the Transfer-Encoding of the caller's head, so that the server would wait for chunks.
+func SetBufferedBody(req *fasthttp.Request, body []byte) {
+	if req.Header.ContentLength() == chunkedLength {
+		req.Header.SetContentLength(len(body))
+	}
+	req.SetBodyRaw(body)
+}
--- a/pkg/proxy/outgoing.go
+++ b/pkg/proxy/outgoing.go
@@ -7,6 +7,8 @@
 	"strconv"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/hornbeamway/hornbeamway/pkg/ingress"
 )
 
 // newOutgoingRequest returns a copy of the caller's request for one attempt. It must be released with
@@ -31,7 +33,7 @@
 		// Only a chunked body can have trailers.
 		req.SetBodyStream(bytes.NewReader(c.body), -1)
 	default:
-		req.SetBodyRaw(c.body)
+		ingress.SetBufferedBody(req, c.body)
 	}
 	return req
 }
