gateway: a test that a server's statement counts whatever its response is

A response to HEAD, a large or chunked one that breaks off, one without a length, a body or a proof, a server error, relayed or not, a refusal and a 429: after each the server got no further request. All eleven passed at once; nothing covered them.

--- a/pkg/gateway/leaving_test.go
+++ b/pkg/gateway/leaving_test.go
@@ -125,6 +125,41 @@
 		f.roundTrip("GET", "/safe/", "later")
 		Expect(first.count()).To(Equal(1))
 	})
+
+	// Guards against a statement that is only read from a complete, successful response.
+	DescribeTable("applies the statement whatever the response is", func(method, path string, status int, body string, headers ...string) {
+		first := startBackend(func(r *receivedRequest, c net.Conn) bool {
+			head := fmt.Sprintf("HTTP/1.1 %d X\r\nId: %s\r\nLeaving: 1\r\n", status, r.Header.Get("Id"))
+			for _, header := range headers {
+				head += header + "\r\n"
+			}
+			_, _ = io.WriteString(c, head+"\r\n"+body)
+			return false
+		})
+		second := startBackend(respondCorrectly)
+		f := startGateway(first, second)
+		c := f.dial()
+		c.send(method, path, "first", nil)
+		// A response that breaks off may end before its head was relayed.
+		_, _ = c.reader.ReadString('\n')
+		Expect(first.count()).To(Equal(1))
+		for i := range requests {
+			Expect(f.roundTrip("GET", path, fmt.Sprint("later-", i)).StatusCode).To(Equal(200))
+		}
+		Expect(first.count()).To(Equal(1))
+	},
+		Entry("to a HEAD request", "HEAD", "/safe/", 200, "", "Proof: p", "Content-Length: 5"),
+		Entry("a large one that breaks off", "GET", "/bulk/", 200, "part", "Proof: p", "Content-Length: 5000000"),
+		Entry("in chunks that break off", "GET", "/bulk/", 200, "4\r\npart", "Proof: p", "Transfer-Encoding: chunked"),
+		Entry("without a length", "GET", "/safe/", 200, "all", "Proof: p", "Connection: close"),
+		Entry("without a body", "GET", "/safe/", 204, "", "Proof: p"),
+		Entry("without a proof", "GET", "/once/", 200, "", "Content-Length: 0"),
+		Entry("a server error that is relayed", "GET", "/once/", 500, "", "Proof: p", "Content-Length: 0"),
+		Entry("a server error that is not relayed", "GET", "/safe/", 500, "", "Proof: p", "Content-Length: 0"),
+		Entry("a refusal", "GET", "/once/", 503, "", "Not-Run: 1", "Content-Length: 0"),
+		Entry("a refusal without a promise", "GET", "/safe/", 503, "", "Content-Length: 0"),
+		Entry("too many requests", "GET", "/once/", 429, "", "Not-Run: 1", "Content-Length: 0"),
+	)
 })
 
 var _ = Describe("Gateway with a server that wants no requests for some time", func() {
