balance, gateway: failing tests of a statement that a late response displaces

Servers saw: requests to a leaving server, although the VM had passed on a response in which it said so. Cause: a statement is kept for the start of the server that was listed when the request was sent, not for the latest one. After the record of the running start has arrived, the late response to a request from before moves the statement back to the earlier start: for the running one it then applies for 30 s, or not at all if its clock is ahead.

Evidence: on this code 'sends nothing to the server after the response to a request from before its record caught up' gets 200 in place of 503 (the server gets a third request), and the three entries of 'keeps the statement of a start when a response to an earlier request arrives' find the server available a minute later. 'does not take a statement in the response to an earlier request for that of the listed start for good' passes and keeps the fix from overdoing it.

--- a/pkg/balance/availability_test.go
+++ b/pkg/balance/availability_test.go
@@ -76,6 +76,36 @@
 		Expect(b.Availability(&next, start.Add(5*time.Second))).To(Equal(balance.Available))
 	})
 
+	// Guards against requests to a leaving server after a late response to a request that was sent when an earlier start of the server
+	// was listed: the statement was then kept for the earlier start, and that of the present one was forgotten.
+	DescribeTable("keeps the statement of a start when a response to an earlier request arrives", func(elapsed time.Duration, late balance.Statement) {
+		b := newBalancer(x, y)
+		earlier, current := *x, *x
+		earlier.Revision = 1
+		current.Incarnation, current.Revision = start.Add(-time.Minute).UnixMilli(), 2
+		b.SetServers(&directory.View{ByService: map[string][]*directory.Server{"s": {&current, y}}})
+		b.RecordStatement(&current, leaving, start)
+		b.RecordStatement(&earlier, late, start.Add(elapsed))
+		Expect(b.Availability(&current, start.Add(elapsed+time.Minute))).To(Equal(balance.Leaving))
+	},
+		Entry("which repeats it", time.Second, leaving),
+		Entry("which asks for no requests", time.Second, balance.Statement{RetryAfter: "1"}),
+		Entry("which asks for no requests, after a minute", time.Minute, balance.Statement{RetryAfter: "1"}),
+	)
+
+	// Guards against a start that is avoided for good because of the late response of an earlier one.
+	It("does not take a statement in the response to an earlier request for that of the listed start for good", func() {
+		b := newBalancer(x, y)
+		earlier, current := *x, *x
+		earlier.Revision = 1
+		current.Incarnation, current.Revision = start.Add(-time.Minute).UnixMilli(), 2
+		b.RecordStatement(&current, balance.Statement{RetryAfter: "1"}, start)
+		Expect(b.RecordStatement(&earlier, leaving, start.Add(time.Second)).Leaving).To(BeTrue())
+		Expect(b.RecordStatement(&earlier, leaving, start.Add(time.Second)).Leaving).To(BeFalse())
+		Expect(b.Availability(&current, start.Add(20*time.Second))).To(Equal(balance.Leaving))
+		Expect(b.Availability(&current, start.Add(time.Minute))).To(Equal(balance.Available))
+	})
+
 	// Guards against a server that is lost for good because a peer VM was wrong about it.
 	It("keeps a server out for a while by what a peer VM reports, and for good by what the server states", func() {
 		b := newBalancer(x, y)
--- a/pkg/gateway/leaving_test.go
+++ b/pkg/gateway/leaving_test.go
@@ -126,6 +126,29 @@
 		Expect(first.count()).To(Equal(1))
 	})
 
+	// Guards against a statement that is forgotten when the response to an earlier request arrives after it: that request was sent when
+	// an earlier start of the server was listed, and its response also states that the server is leaving.
+	It("sends nothing to the server after the response to a request from before its record caught up", func() {
+		release := make(chan struct{})
+		first := startBackend(func(r *receivedRequest, c net.Conn) bool {
+			if r.Header.Get("Id") == "early" {
+				<-release
+			}
+			return respondLeaving(r, c)
+		})
+		f := startGateway(first)
+		f.applyServer(2, directory.Server{ID: "s0", Address: first.address, Incarnation: time.Now().Add(-time.Hour).UnixMilli(), Revision: 2})
+		early := f.dial()
+		early.send("GET", "/once/", "early", nil)
+		Eventually(first.count).Should(Equal(1))
+		f.applyServer(3, directory.Server{ID: "s0", Address: first.address, Incarnation: time.Now().Add(time.Hour).UnixMilli(), Revision: 3})
+		Expect(f.roundTrip("GET", "/once/", "second").StatusCode).To(Equal(200))
+		close(release)
+		Expect(early.receive().StatusCode).To(Equal(200))
+		Expect(f.roundTrip("GET", "/once/", "later").StatusCode).To(Equal(503))
+		Expect(first.count()).To(Equal(2))
+	})
+
 	// Guards against a statement that is only read from a complete, successful response.
 	DescribeTable("applies the statement whatever the response is", func(method, path string, status int, body string, headers ...string) {
 		first := startBackend(func(r *receivedRequest, c net.Conn) bool {
