balance: a late response does not move a statement to an earlier start of its server

Cause: a statement was kept for the start in the record with which its request was sent, and each further one replaced that start. A request from before the record of the running start arrived may be answered last.

Change: the revision of the record, which the store orders, is kept with the statement. One that comes with an earlier record leaves the start alone.

Why it works: the start of the latest record is never replaced by that of an earlier one, so that what it has stated applies until a later start. Records without a revision, from VMs of an earlier version, replace it as before.

--- a/pkg/balance/availability.go
+++ b/pkg/balance/availability.go
@@ -67,14 +67,22 @@
 // availability is what is known of a server from its own responses. It is kept by the id of the server, whether or not the server is
 // listed: a list that is older than the response may contain the server, or an earlier start of it, or miss it for a while.
 type availability struct {
-	// incarnation is the start of the server that this VM knew when it heard the statement. heardAt is when it first heard that the
-	// server is leaving, or that it wants no requests: responses repeat it until the server exits.
-	incarnation int64
-	heardAt     time.Time
-	leaving     bool
-	// peerLeavingUntil is the end of the time for which the statement of a peer VM applies.
-	peerLeavingUntil time.Time
-	heldUntil        time.Time
+	// incarnation is the start of the server that this VM knew when it heard the statement, and revision that of its record, which
+	// orders the starts. heardAt is when it first heard that the server is leaving, or that it wants no requests: responses repeat it
+	// until the server exits.
+	incarnation, revision int64
+	heardAt               time.Time
+	leaving               bool
+	// leavingUntil is the end of the time for which the server counts as leaving by a statement that may not be that of this start:
+	// one that a peer VM has heard, or one in the response to a request from before its record arrived.
+	leavingUntil time.Time
+	heldUntil    time.Time
+}
+
+// supersedes reports whether the statement is that of a later start than the one in a record of the server. A record without a
+// revision, from a VM of an earlier version, counts as the latest.
+func (a *availability) supersedes(server *directory.Server) bool {
+	return server.Incarnation != a.incarnation && server.Revision != 0 && server.Revision < a.revision
 }
 
 // appliesTo reports whether the statement is that of a listed start of the server. A statement does not say which start it comes from,
@@ -95,7 +103,7 @@
 	switch {
 	case a == nil:
 		return Available
-	case a.leaving, now.Before(a.peerLeavingUntil):
+	case a.leaving, now.Before(a.leavingUntil):
 		return Leaving
 	case now.Before(a.heldUntil):
 		return HeldOff
@@ -145,8 +153,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	a := b.availabilityForChange(server, now)
-	change.Leaving = s.Leaving && !a.leaving
-	a.leaving = a.leaving || s.Leaving
+	if s.Leaving {
+		change.Leaving = a.setLeaving(server, now)
+	}
 	if until := now.Add(change.Hold); change.Hold > 0 && until.After(a.heldUntil) {
 		change.HeldOff = !now.Before(a.heldUntil)
 		a.heldUntil = until
@@ -157,6 +166,20 @@
 	return change
 }
 
+// setLeaving applies that a server, or an earlier start of it, has stated that it is leaving. It reports whether that was not known.
+func (a *availability) setLeaving(server *directory.Server, now time.Time) (changed bool) {
+	switch {
+	case a.leaving:
+		return false
+	case a.supersedes(server):
+		changed = !now.Before(a.leavingUntil)
+		a.leavingUntil = now.Add(otherStartTTL)
+		return changed
+	}
+	a.leaving = true
+	return true
+}
+
 // RecordPeerLeaving applies that a listed server has stated to a peer VM that it is leaving. It returns the server if that was not known,
 // and nil otherwise.
 func (b *Balancer) RecordPeerLeaving(key ServerKey, now time.Time) *directory.Server {
@@ -167,7 +190,7 @@
 		return nil
 	}
 	known := b.availabilityOf(s.info, now).at(now) == Leaving
-	b.availabilityForChange(s.info, now).peerLeavingUntil = now.Add(peerLeavingTTL)
+	b.availabilityForChange(s.info, now).leavingUntil = now.Add(peerLeavingTTL)
 	if known {
 		return nil
 	}
@@ -205,8 +228,11 @@
 	return a
 }
 
-// availabilityForChange returns the record of a start of a server for a change. The caller holds the lock.
+// availabilityForChange returns what is known of a start of a server, or of a later one, for a change. The caller holds the lock.
 func (b *Balancer) availabilityForChange(server *directory.Server, now time.Time) *availability {
+	if a, ok := b.availabilities[server.ID]; ok && a.supersedes(server) {
+		return a
+	}
 	a := b.availabilityOf(server, now)
 	if a == nil {
 		if len(b.availabilities) >= maxAvailabilities {
@@ -215,7 +241,7 @@
 		a = &availability{heardAt: now}
 		b.availabilities[server.ID] = a
 	}
-	a.incarnation = server.Incarnation
+	a.incarnation, a.revision = server.Incarnation, server.Revision
 	return a
 }
 
--- a/pkg/balance/availability_test.go
+++ b/pkg/balance/availability_test.go
@@ -106,6 +106,17 @@
 		Expect(b.Availability(&current, start.Add(time.Minute))).To(Equal(balance.Available))
 	})
 
+	// Guards against the statement of a later start that is taken for a late one, because a VM of an earlier version has sent its record.
+	It("takes a record without a revision for the latest one", func() {
+		b := newBalancer(x, y)
+		known, next := *x, *x
+		known.Revision = 5
+		next.Incarnation = start.Add(10 * time.Second).UnixMilli()
+		b.RecordStatement(&known, leaving, start)
+		b.RecordStatement(&next, leaving, start.Add(11*time.Second))
+		Expect(b.Availability(&next, start.Add(time.Minute))).To(Equal(balance.Leaving))
+	})
+
 	// Guards against a server that is lost for good because a peer VM was wrong about it.
 	It("keeps a server out for a while by what a peer VM reports, and for good by what the server states", func() {
 		b := newBalancer(x, y)
