balance: failing test of a leaving statement and clocks that differ

Servers would see: requests after the VM has passed on that the server is leaving. Cause: a start that is over 2 s later than the statement counts as a new one, even if it lies in the future. If the server started again unknown to the VM, and the clock of the VM has stepped back or that of the server is ahead by more than the server's age, the start that made the statement looks later than it as soon as its record arrives. Evidence: both entries find the server available on this code.

--- a/pkg/balance/availability_test.go
+++ b/pkg/balance/availability_test.go
@@ -64,6 +64,21 @@
 		Entry("a later start", start.Add(5*time.Second), balance.Available),
 	)
 
+	// Guards against requests to a leaving server whose start seems to be later than its statement only because the clock of this VM has
+	// stepped back, or that of the server is ahead: its record arrives before the time that it names.
+	DescribeTable("takes a start in the future for the one that made the statement", func(elapsed time.Duration) {
+		b := newBalancer(x, y)
+		b.RecordStatement(x, leaving, start)
+		next := *x
+		next.Incarnation = start.Add(20 * time.Second).UnixMilli()
+		b.SetServers(&directory.View{ByService: map[string][]*directory.Server{"s": {&next, y}}})
+		Expect(b.Availability(&next, start.Add(elapsed))).To(Equal(balance.Leaving))
+		Expect(b.Availability(&next, start.Add(time.Minute))).To(Equal(balance.Available))
+	},
+		Entry("when its record arrives at once", time.Duration(0)),
+		Entry("some seconds later", 10*time.Second),
+	)
+
 	// Guards against a server that is kept out after its restart, because its last responses before the exit repeated that it was
 	// leaving.
 	It("lets the next start in although the statement was repeated until the exit", func() {
