balance: a start in the future does not end the statement of a leaving server

Cause: only the server's start time and the time of the statement on this VM's wall clock were compared, so that two clocks that differ by more than the margin of 2 s made an earlier start look later than the statement.

Change: a later start lies between the statement and now, within the same margin; the time since the statement is measured on the monotonic clock. A start in the future is treated like one from before the statement: it is avoided for up to 30 s.

Why it works: a record never arrives before the start that wrote it. One that seems to shows that the clocks differ, so that they cannot tell whether the start is that of the statement. A server that starts again while its clock is ahead by S is let in S - 2 s later than before, or after 30 s. Clocks that differ still matter once a record is S - 2 s old.

--- a/pkg/balance/availability.go
+++ b/pkg/balance/availability.go
@@ -89,13 +89,20 @@
 // and the server may have started again without this VM knowing:
 //   - the start that this VM knew when it heard the statement: yes;
 //   - another start, from before the statement: yes for otherStartTTL, as it may be the one that made the statement;
-//   - a record without a start time: the same;
+//   - a start in the future, or a record without a start time: the same;
 //   - a start from after the statement: no.
 func (a *availability) appliesTo(incarnation int64, now time.Time) bool {
 	if incarnation == a.incarnation && incarnation != 0 {
 		return true
 	}
-	return incarnation <= a.heardAt.Add(clockMargin).UnixMilli() && now.Sub(a.heardAt) < otherStartTTL
+	return !a.precedes(incarnation, now) && now.Sub(a.heardAt) < otherStartTTL
+}
+
+// precedes reports whether the statement is older than a start of the server. A start in the future is not taken for a later one: the
+// clock of this VM has stepped back, or that of the server is ahead.
+func (a *availability) precedes(incarnation int64, now time.Time) bool {
+	startedAfter := time.UnixMilli(incarnation).Sub(a.heardAt)
+	return startedAfter > clockMargin && startedAfter <= now.Sub(a.heardAt)+clockMargin
 }
 
 // at returns the availability at a time.
