balance: a hold applies until its end to whichever start may have asked for it

Cause: the time for which a statement applies to another start, or to a server without a start time, also ended holds. Change: a hold in force keeps the statement in force.

--- a/pkg/balance/availability.go
+++ b/pkg/balance/availability.go
@@ -88,14 +88,15 @@
 // appliesTo reports whether the statement is that of a listed start of the server. A statement does not say which start it comes from,
 // and the server may have started again without this VM knowing:
 //   - the start that this VM knew when it heard the statement: yes;
-//   - another start, from before the statement: yes for otherStartTTL, as it may be the one that made the statement;
+//   - another start, from before the statement: yes for otherStartTTL, or until the end of a hold, as it may be the one that made the
+//     statement;
 //   - a start in the future, or a record without a start time: the same;
 //   - a start from after the statement: no.
 func (a *availability) appliesTo(incarnation int64, now time.Time) bool {
 	if incarnation == a.incarnation && incarnation != 0 {
 		return true
 	}
-	return !a.precedes(incarnation, now) && now.Sub(a.heardAt) < otherStartTTL
+	return !a.precedes(incarnation, now) && (now.Sub(a.heardAt) < otherStartTTL || now.Before(a.heldUntil))
 }
 
 // precedes reports whether the statement is older than a start of the server. A start in the future is not taken for a later one: the
