gateway: failing test of a Retry-After that is shorter than the hold of all servers

Callers saw: 503 with Retry-After 0.02 to 0.2 s from a service whose only server had just asked for no requests for 3 s; they came back before any server could take them. Cause: the time until the first hold ends is looked up only if a further attempt is allowed. Evidence: two of three entries fail on this code, on a route with one attempt and with a used-up retry budget.

--- a/pkg/gateway/leaving_test.go
+++ b/pkg/gateway/leaving_test.go
@@ -238,6 +238,24 @@
 		Expect(seconds).To(BeNumerically("<=", objective.Seconds()))
 	})
 
+	// Guards against callers that are told to return long before the hold of the only server ends, because no second attempt is allowed.
+	DescribeTable("names the time until the first hold ends in the refusal after the last attempt", func(path string, retries float64) {
+		const longHold = 3 * time.Second
+		f := startGateway(startBackend(func(r *receivedRequest, c net.Conn) bool {
+			return writeResponse(c, r, 503, "", "Not-Run: 1", fmt.Sprint("Retry-After: ", longHold.Seconds()))
+		}))
+		f.retries.SetBurst(retries)
+		a := f.roundTrip("POST", path, "order")
+		Expect(a.StatusCode).To(Equal(503))
+		seconds, err := strconv.ParseFloat(a.Header.Get("Retry-After"), 64)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(seconds).To(And(BeNumerically(">", 0.9*longHold.Seconds()), BeNumerically("<=", longHold.Seconds())))
+	},
+		Entry("which may be repeated", "/once/", 4.0),
+		Entry("of a route with one attempt", "/bulk/", 4.0),
+		Entry("when the retry budget is used up", "/once/", 0.0),
+	)
+
 	// Guards against callers that send a request again before a server is available, because the refusal names a shorter time.
 	It("refuses at once, with the time until the first hold ends, when all servers are held off", func() {
 		f := startGateway(startBackend(respondHoldingOff))
