gateway: the refusal after the last attempt names the hold of all servers

Cause: the time until the first hold ends was looked up only when a further attempt was allowed by the route and the retry budget. Change: it is looked up after the last attempt, too. Why it works: whether another attempt is allowed says nothing about when a server is available; a request whose servers are only full keeps its short Retry-After.

--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -79,7 +79,8 @@
 				continue
 			}
 			if !g.mayRetry(ctx, c, r) {
-				return r.err
+				choice, _ := g.chooseServer(c)
+				return withMinRetryAfter(r.err, choice.HeldOff)
 			}
 			choice, refusal := g.chooseServer(c)
 			if refusal != nil {
@@ -94,8 +95,16 @@
 // withLaterRetry returns the problem of a failed attempt after which no server could be chosen. Its Retry-After is that of the refusal
 // if this is later, for example because all servers have asked for no requests until then.
 func withLaterRetry(failed, refusal *problem.Problem) *problem.Problem {
-	if failed.Outcome == problem.NotRun && refusal.Reason == problem.ReasonNoServer {
-		return failed.WithRetryAfter(max(failed.RetryAfter, refusal.RetryAfter))
+	if refusal.Reason == problem.ReasonNoServer {
+		return withMinRetryAfter(failed, refusal.RetryAfter)
+	}
+	return failed
+}
+
+// withMinRetryAfter returns the problem of a failed attempt. If the request was not run, the Retry-After is at least the given time.
+func withMinRetryAfter(failed *problem.Problem, retryAfter time.Duration) *problem.Problem {
+	if failed.Outcome == problem.NotRun {
+		return failed.WithRetryAfter(max(failed.RetryAfter, retryAfter))
 	}
 	return failed
 }
