--- a/pkg/balance/availability_test.go
+++ b/pkg/balance/availability_test.go
@@ -93,6 +93,18 @@
 		Entry("of a server without a start time", int64(0)),
 	)
 
+	// Guards against a statement that is forgotten when the record of the same start names another address or service.
+	It("keeps the statements of a server that moves", func() {
+		b := newBalancer(x, y)
+		b.RecordStatement(x, leaving, start)
+		b.RecordStatement(y, balance.Statement{RetryAfter: "60"}, start)
+		movedX, movedY := *x, *y
+		movedX.Address, movedX.Service, movedY.Address = "10.0.0.2:2", "other", "10.0.0.3:3"
+		b.SetServers(&directory.View{ByService: map[string][]*directory.Server{"other": {&movedX}, "s": {&movedY}}})
+		Expect(b.Availability(&movedX, start.Add(time.Hour))).To(Equal(balance.Leaving))
+		Expect(b.Availability(&movedY, start.Add(50*time.Second))).To(Equal(balance.HeldOff))
+	})
+
 	// Guards against a server that is kept out after its restart, because its last responses before the exit repeated that it was
 	// leaving.
 	It("lets the next start in although the statement was repeated until the exit", func() {
