gateway: bound the memory of all buffered request bodies together

Seen by callers: nothing yet. After the report of an operator (a machine ran out of memory by what others sent, and the requests of its other callers ended with it): each body of up to 256 KiB was read into memory, however many callers sent one, and the whole length was allocated before it arrived. 2,800 connections could take 700 MB of a VM that has 184 MB.

Cause: a bound for each body, none for all of them.

Change: the budget of buffered responses moves to pkg/bodybuffer, and request bodies have one of their own, also of 16 MiB. A buffer grows with what has arrived. It counts until the call and all its attempts have ended, a hedged one that lost included. A body that finds no memory left is relayed while it is read, as those above 256 KiB are; its request is then sent to one server only. It is not refused, because it needs no memory, and a caller who sends at once is served. hornbeamway_gateway_bodies_not_buffered_total counts such bodies.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -9,6 +9,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/hornbeamway/hornbeamway/pkg/balance"
+	"github.com/hornbeamway/hornbeamway/pkg/bodybuffer"
 	"github.com/hornbeamway/hornbeamway/pkg/ingress"
 	"github.com/hornbeamway/hornbeamway/pkg/loadshare"
 	"github.com/hornbeamway/hornbeamway/pkg/problem"
@@ -28,7 +29,9 @@
 	deadline time.Time
 	stream   *ingress.BodyStream
 	req      *fasthttp.Request
-	resp     *fasthttp.Response
+	// body holds the memory of the request body; the attempt releases it.
+	body *bodybuffer.Buffer
+	resp *fasthttp.Response
 	// final is true if no further attempt is allowed.
 	final bool
 }
@@ -55,6 +58,7 @@
 // run sends the request and reads the response. It records the outcome and the load report in the balancer and publishes both to
 // the peer VMs.
 func (a *attempt) run(ctx, superseded context.Context) result {
+	defer a.body.Release()
 	defer fasthttp.ReleaseRequest(a.req)
 	g, key, started := a.gateway, a.choice.Key, a.gateway.Clock.Now()
 	g.Publish(loadshare.Event{Key: key, Count: g.Balancer.Begin(key)})
@@ -67,7 +71,7 @@
 	var head ResponseHead
 	if err == nil {
 		head = g.Dialect.Response(&a.resp.Header)
-		err = g.buffers.buffer(a.resp, a.deadline)
+		err = bufferResponse(g.responseBodies, a.resp, a.deadline)
 	}
 	now := g.Clock.Now()
 	var r result
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/hornbeamway/hornbeamway/pkg/balance"
+	"github.com/hornbeamway/hornbeamway/pkg/bodybuffer"
 	"github.com/hornbeamway/hornbeamway/pkg/ingress"
 	"github.com/hornbeamway/hornbeamway/pkg/problem"
 	"github.com/hornbeamway/hornbeamway/pkg/routing"
@@ -21,6 +22,10 @@
 // defaultCallerWait is the assumed wait of a caller that does not state one.
 const defaultCallerWait = 30 * time.Second
 
+// maxBufferedBody is the largest request body, in bytes, that is read to its end before the request is sent, so that it can be sent
+// again.
+const maxBufferedBody = 256 << 10
+
 // streamWriteMargin is the time after the deadline of a request in which the last part of a streamed response can be written.
 const streamWriteMargin = 100 * time.Millisecond
 
@@ -36,8 +41,8 @@
 	priorWait time.Duration
 	// deadline is the end of the caller's wait or of the route's timeout, whichever is earlier.
 	deadline time.Time
-	// body is the complete body if stream is nil.
-	body   []byte
+	// body is the complete body if stream is nil, and otherwise the part of it that was read before it became a stream.
+	body   *bodybuffer.Buffer
 	stream *ingress.BodyStream
 	// sentTo lists the servers of all attempts. mayHaveRun is true if one of them may have run it.
 	sentTo     []balance.ServerKey
@@ -53,7 +58,9 @@
 // handle handles a request on the callers' address.
 func (g *Gateway) handle(ctx *fasthttp.RequestCtx) {
 	g.inFlight.Add(1)
-	c := &call{ctx: ctx, arrivedAt: g.Clock.Now(), closeConnection: ctx.Request.Header.ConnectionClose()}
+	c := &call{ctx: ctx, arrivedAt: g.Clock.Now(), closeConnection: ctx.Request.Header.ConnectionClose(),
+		body: g.requestBodies.NewBuffer()}
+	defer c.body.Release()
 	// The id is read first, so that every refusal carries it.
 	c.head = g.Dialect.Caller(&ctx.Request.Header)
 	if err := g.serve(c); err != nil {
@@ -137,8 +144,8 @@
 	return c.readBody(table.Limits.BodyBytes)
 }
 
-// readBody reads a body of up to maxBufferedBody bytes into memory. A larger one remains a stream, which only one attempt can
-// read.
+// readBody reads a body of up to maxBufferedBody bytes into memory, as far as the budget allows. Any other remains a stream, which only
+// one attempt can read.
 func (c *call) readBody(limit int) error {
 	length := c.ctx.Request.Header.ContentLength()
 	if limit <= 0 {
@@ -148,25 +155,19 @@
 		return bodyProblem(ingress.ErrBodyTooLarge)
 	}
 	if !c.ctx.Request.IsBodyStream() {
-		c.body = c.ctx.Request.Body()
-		if c.route.Idempotent {
-			// A hedged attempt may still be sending the body when fasthttp reuses its buffer for the next request.
-			c.body = bytes.Clone(c.body)
-		}
-		return nil
+		return nil // The request has no body.
 	}
-	source, maxPrefix := c.ctx.RequestBodyStream(), min(limit, maxBufferedBody)
-	prefix, err := ingress.ReadPrefix(source, length, maxPrefix)
+	source := c.ctx.RequestBodyStream()
+	complete, err := c.body.Fill(source, length, min(limit, maxBufferedBody)+1)
 	switch {
 	case err != nil:
 		return bodyProblem(err)
-	case len(prefix) <= maxPrefix:
-		c.body = prefix
-		return nil
-	case len(prefix) > limit:
+	case len(c.body.Bytes()) > limit:
 		return bodyProblem(ingress.ErrBodyTooLarge)
+	case complete:
+		return nil
 	}
-	c.stream = &ingress.BodyStream{Source: io.MultiReader(bytes.NewReader(prefix), source), Length: length, Limit: limit,
+	c.stream = &ingress.BodyStream{Source: io.MultiReader(bytes.NewReader(c.body.Bytes()), source), Length: length, Limit: limit,
 		OnEnd: func() {}}
 	return nil
 }
@@ -200,7 +201,7 @@
 	if c.stream != nil {
 		req.SetBodyStream(c.stream, c.stream.Length)
 	} else {
-		ingress.SetBufferedBody(req, c.body)
+		ingress.SetBufferedBody(req, c.body.Bytes())
 	}
 	return req
 }
@@ -217,7 +218,12 @@
 }
 
 // bodyBytes returns the size of the buffered request body in bytes; 0 for a stream.
-func (c *call) bodyBytes() float64 { return float64(len(c.body)) }
+func (c *call) bodyBytes() float64 {
+	if c.stream != nil {
+		return 0
+	}
+	return float64(len(c.body.Bytes()))
+}
 
 // writeProblem replaces the response by a problem. A problem that states "not run" is changed to an unknown outcome if an
 // attempt may have run the request.
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -6,12 +6,14 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/hornbeamway/hornbeamway/pkg/availability"
 	"github.com/hornbeamway/hornbeamway/pkg/balance"
+	"github.com/hornbeamway/hornbeamway/pkg/bodybuffer"
 	"github.com/hornbeamway/hornbeamway/pkg/clock"
 	"github.com/hornbeamway/hornbeamway/pkg/directory"
 	"github.com/hornbeamway/hornbeamway/pkg/ingress"
@@ -28,9 +30,10 @@
 const (
 	// readBuffer is the size in bytes of the largest request head that can be read. The configuration may set a lower limit.
 	readBuffer = 20 << 10
-	// maxBufferedBody is the largest request body, in bytes, that is read to its end before the request is sent, so that it can
-	// be sent again.
-	maxBufferedBody = 256 << 10
+	// requestBudget and responseBudget are the memory, in bytes, of all request and of all response bodies that are buffered at the
+	// same time. Beyond it bodies are relayed while they are read.
+	requestBudget  = 16 << 20
+	responseBudget = 16 << 20
 	// streamThreshold is the size in bytes from which fasthttp provides a request body as a stream.
 	streamThreshold = 64 << 10
 	// maxConnections limits the connections of callers. The remaining file descriptors are for connections to servers.
@@ -44,6 +47,11 @@
 	closeExpiredInterval = time.Second
 )
 
+var (
+	requestsNotBuffered  = metrics.NewCounter(`hornbeamway_gateway_bodies_not_buffered_total{message="request"}`)
+	responsesNotBuffered = metrics.NewCounter(`hornbeamway_gateway_bodies_not_buffered_total{message="response"}`)
+)
+
 // Options holds the dependencies of a Gateway.
 type Options struct {
 	Clock    clock.Clock
@@ -69,10 +77,10 @@
 	server    *fasthttp.Server
 	listener  atomic.Pointer[ingress.Listener]
 	estimates *routeEstimates
-	// buffers limits the memory of the responses that are buffered.
-	buffers  bufferBudget
-	draining atomic.Bool
-	refusing atomic.Bool
+	// requestBodies and responseBodies limit the memory of the bodies that are buffered.
+	requestBodies, responseBodies *bodybuffer.Budget
+	draining                      atomic.Bool
+	refusing                      atomic.Bool
 	// lastDeadline is the latest deadline of a request that is still sent to a server; nil: no limit.
 	lastDeadline atomic.Pointer[time.Time]
 	inFlight     atomic.Int64
@@ -86,7 +94,8 @@
 	g := &Gateway{Options: o,
 		availability: availability.Recorder{Clock: o.Clock, Balancer: o.Balancer, Servers: o.Servers, Publish: o.Publish},
 		watcher:      ingress.NewDisconnectWatcher(), estimates: newRouteEstimates(), startedAt: o.Clock.Now(),
-		buffers: bufferBudget{limit: bufferBudgetLimit}}
+		requestBodies:  bodybuffer.NewBudget(requestBudget, requestsNotBuffered),
+		responseBodies: bodybuffer.NewBudget(responseBudget, responsesNotBuffered)}
 	g.server = &fasthttp.Server{
 		Handler:                      g.handle,
 		NoDefaultServerHeader:        true,
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -128,8 +128,9 @@
 // attempt has answered.
 func (g *Gateway) startAttempt(ctx, superseded context.Context, c *call, choice balance.Choice, results chan result) {
 	c.sentTo = append(c.sentTo, choice.Key)
+	c.body.Retain()
 	a := attempt{gateway: g, route: c.route, id: c.head.ID, choice: choice, deadline: c.deadline, stream: c.stream,
-		req: g.newServerRequest(c, choice.Server.ID), resp: &fasthttp.Response{}, final: !c.attemptLeft()}
+		req: g.newServerRequest(c, choice.Server.ID), body: c.body, resp: &fasthttp.Response{}, final: !c.attemptLeft()}
 	go func() { results <- a.run(ctx, superseded) }()
 }
 
