gateway: failing spec of bodies that arrive after the deadline of their request

A caller that stops in the middle of a body gets no answer within the 10 s that the spec waits, with a timeout of the route of 0.6 s; its body, or the connection to a server that has received a part, is held all the while.

--- a/pkg/gateway/requestbody_test.go
+++ b/pkg/gateway/requestbody_test.go
@@ -54,6 +54,7 @@
 	const (
 		// bodySize is a little less than what the gateway buffers of one body.
 		bodySize = 250_000
+		margin   = 500 * time.Millisecond
 	)
 	whole := strings.Repeat("x", bodySize)
 	half := whole[:bodySize/2]
@@ -92,6 +93,23 @@
 		Entry("in chunks without an end", chunkedBody),
 	)
 
+	// Guards against a caller that holds the memory of its body, or a slot of a server, after the deadline of its request: only the
+	// pauses within a body were limited.
+	DescribeTable("ends a body that does not arrive by the deadline", func(rest string, status int) {
+		f := startGateway(startSilentBackend())
+		started := time.Now()
+		c := begin(f, callerWait, "POST", "/once/", rest)
+		a := c.receive()
+		Expect(a.err).NotTo(HaveOccurred())
+		Expect(time.Since(started)).To(BeNumerically("<", routeTimeout+margin))
+		Expect(a.StatusCode).To(Equal(status))
+		Expect(a.Close).To(BeTrue())
+	},
+		Entry("as not run if nothing was sent to a server", lengthHead(bodySize)+half, http.StatusRequestTimeout),
+		Entry("as not run if nothing was sent to a server, in chunks", chunkedBody, http.StatusRequestTimeout),
+		Entry("with an unknown outcome if a server received a part", lengthHead(8*bodySize)+whole+whole, http.StatusBadGateway),
+	)
+
 	// Guards against a budget that refuses callers although their bodies need no memory.
 	It("relays a body while it arrives when slow callers have used up the memory", func() {
 		const slowCallers = 100
