gateway, ingress: end a request body at the deadline of its request

A caller that stopped in the middle of a body, or sent a byte now and then, held the memory of the body, and of a streamed one also a connection to a server and its slot, long after the request had timed out: no answer 10 s after a route's timeout of 0.6 s. With it slow callers could use up the common memory of bodies for as long as they liked.

Cause: only the pauses within a body were limited (20 s each). The deadline of an attempt limits the connection to the server, and an attempt that waits for more of the body reads from the caller.

Change: all reads of a body end at the deadline of its request. Until something was sent to a server the caller gets 408, not run; then 502, as for any body that breaks off.

--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -140,6 +140,9 @@
 		wait = defaultCallerWait
 	}
 	c.deadline = c.arrivedAt.Add(min(wait, c.route.Timeout))
+	if conn, ok := c.ctx.Conn().(*ingress.Conn); ok {
+		conn.SetBodyDeadline(c.deadline)
+	}
 	c.service = g.Splitter.Pick(c.route)
 	return c.readBody(table.Limits.BodyBytes)
 }
--- a/pkg/ingress/conn.go
+++ b/pkg/ingress/conn.go
@@ -32,6 +32,8 @@
 	bytesAfterHead int64
 	// readWait is the total time that reads of the current request's body have waited for the sender.
 	readWait time.Duration
+	// bodyDeadline limits all reads of the current request's body; zero: no limit.
+	bodyDeadline time.Time
 	// lingerOnClose is set if the remote side may still be sending when the connection is closed.
 	lingerOnClose bool
 	// responseDeadline limits all writes of the current response; zero: no limit.
@@ -44,12 +46,12 @@
 	stopped         bool
 }
 
-// Read implements net.Conn. The HTTP library's deadline limits the head as a whole; within a body only the pauses are limited,
-// so that a long upload continues as long as it makes progress.
+// Read implements net.Conn. The HTTP library's deadline limits the head as a whole. Within a body the pauses are limited, so that a long
+// upload continues as long as it makes progress, and the body as a whole only by SetBodyDeadline.
 func (c *Conn) Read(p []byte) (int, error) {
 	switch {
 	case c.head.done:
-		if err := c.SetReadDeadline(time.Now().Add(c.listener.opts.BodyIdleTimeout)); err != nil {
+		if err := c.SetReadDeadline(c.idleDeadline(c.bodyDeadline)); err != nil {
 			return 0, err
 		}
 	case !c.head.started && !c.beginWaiting():
@@ -145,6 +147,9 @@
 // SetResponseDeadline limits the time until which the response to the current request can be written.
 func (c *Conn) SetResponseDeadline(t time.Time) { c.responseDeadline = t }
 
+// SetBodyDeadline limits the time until which the body of the current request can be read.
+func (c *Conn) SetBodyDeadline(t time.Time) { c.bodyDeadline = t }
+
 // SetLinger makes Close drain the connection, because the remote side may still be sending.
 func (c *Conn) SetLinger() { c.lingerOnClose = true }
 
@@ -161,21 +166,27 @@
 func (c *Conn) ResetRequest() {
 	c.head = headScanner{}
 	c.bytesAfterHead, c.readWait = 0, 0
+	c.bodyDeadline = time.Time{}
 }
 
 // Write implements net.Conn. The write fails if the caller does not accept the data within BodyIdleTimeout, or by the response
 // deadline, because the response may hold a slot of a backend server until it has been written.
 func (c *Conn) Write(p []byte) (int, error) {
-	deadline := time.Now().Add(c.listener.opts.BodyIdleTimeout)
-	if !c.responseDeadline.IsZero() && c.responseDeadline.Before(deadline) {
-		deadline = c.responseDeadline
-	}
-	if err := c.SetWriteDeadline(deadline); err != nil {
+	if err := c.SetWriteDeadline(c.idleDeadline(c.responseDeadline)); err != nil {
 		return 0, err
 	}
 	return c.Conn.Write(p)
 }
 
+// idleDeadline returns the end of BodyIdleTimeout from now on, or the limit if this is set and earlier.
+func (c *Conn) idleDeadline(limit time.Time) time.Time {
+	idle := time.Now().Add(c.listener.opts.BodyIdleTimeout)
+	if !limit.IsZero() && limit.Before(idle) {
+		return limit
+	}
+	return idle
+}
+
 // Close implements net.Conn. It drains the connection first if SetLinger was called. Until then the connection counts as open.
 func (c *Conn) Close() error {
 	c.closeOnce.Do(func() {
--- a/pkg/ingress/write_test.go
+++ b/pkg/ingress/write_test.go
@@ -82,3 +82,44 @@
 	_, err = c.Write([]byte("in time"))
 	g.Expect(err).NotTo(HaveOccurred())
 }
+
+// Guards against a caller that holds the memory of a body, or a server that receives it, for as long as it sends a little now and then;
+// and against a deadline that ends the next request on the connection.
+func TestBodyEndsAtItsDeadline(t *testing.T) {
+	const (
+		timeout = 300 * time.Millisecond
+		pause   = 20 * time.Millisecond
+		margin  = 500 * time.Millisecond
+	)
+	g := NewWithT(t)
+	caller, c := accepted(t, time.Minute)
+	_, err := caller.Write([]byte("POST / HTTP/1.1\r\nContent-Length: 1000\r\n\r\n"))
+	g.Expect(err).NotTo(HaveOccurred())
+	piece := make([]byte, 100)
+	_, err = c.Read(piece)
+	g.Expect(err).NotTo(HaveOccurred())
+	sending := make(chan struct{})
+	go func() {
+		defer close(sending)
+		for range timeout / pause {
+			_, _ = caller.Write([]byte("x"))
+			time.Sleep(pause)
+		}
+	}()
+	started := time.Now()
+	c.SetBodyDeadline(started.Add(timeout))
+	for err == nil {
+		_, err = c.Read(piece)
+	}
+	g.Expect(ingress.IsTimeout(err)).To(BeTrue())
+	g.Expect(time.Since(started)).To(And(BeNumerically(">=", timeout), BeNumerically("<", timeout+margin)))
+	<-sending
+	c.ResetRequest()
+	g.Expect(c.SetReadDeadline(time.Time{})).To(Succeed()) // as the HTTP library does
+	for _, part := range []string{"POST / HTTP/1.1\r\nContent-Length: 1\r\n\r\n", "x"} {
+		_, err = caller.Write([]byte(part))
+		g.Expect(err).NotTo(HaveOccurred())
+		_, err = c.Read(piece)
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+}
