balance, gateway: refusals rest on knowledge; trial requests correct assumptions

What callers saw: a VM answered every request to a service with 503 queue_full, although the servers of the service were idle and other VMs used them, and went on doing so for as long as it ran.

Cause: whether a request is refused follows from the response time expected of the best server. Parts of that time are assumptions where nothing is known: the load of a server without a recent report, the mean slowdown of its service, the work of the route, the round trip. If they exceed the limit, nothing is sent, so that no response arrives that could correct them.

Change: - balance: a server outside the limits may get a request as a trial if its last load report is older than 500 ms, or there is none, or the work of the route is unknown. It needs the free slots by the counts, must not have been full or unreachable just now, and comes after all servers within the limits. One trial per service in 200 ms; further ones only to a server of another region or data centre that sends no load reports, has just answered and has no request of this VM. - A load report that a trial brings, after 500 ms without any, counts for half of the mean slowdown. - gateway: the work of a route is unknown if it had refusals and no response for 1 s; the response to the trial counts for half of the estimate. - The round trip is no longer part of the measured work. It counted twice for servers of another region, so that a trial would have confirmed the refusals. - The trace of a request says "trial".

Why it works: whatever the assumption is, a request is sent from time to time where it decides, and its response replaces it. The number of trials does not depend on the load. Where a report is recent, all slots are taken or the server was just full, the request is refused at once as before.

Related paths: backoffs after failures, holds and ramp-up end by time, and failure rates only order the servers. "misdirected" lasts until the record of the server changes, which rests on its own answer.

--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -42,8 +42,10 @@
 // Request describes a request for which a server is selected.
 type Request struct {
 	Service string
-	// Work is the time that a server usually works on such a request.
-	Work time.Duration
+	// Work is the time that a server usually works on such a request. WorkUnknown is true if requests were
+	// refused for it and no response has confirmed it since.
+	Work        time.Duration
+	WorkUnknown bool
 	// Objective is the target latency, within which a response has its full value.
 	Objective time.Duration
 	// NonIdempotent is true if the request cannot be sent again after a failure.
@@ -71,6 +73,10 @@
 	Expected time.Duration
 	// WithinLimits is true if the server is within the limits of the request.
 	WithinLimits bool
+	// Trial is true if the server is outside the limits by an assumption only, and may get the request so that the VM learns.
+	Trial bool
+	// RoundTrip is the part of Expected that the network takes.
+	RoundTrip time.Duration
 	// InFlight is the number of in-flight requests on the server, without this one.
 	InFlight int
 	// Slowdown is the expected slowdown of the server, and ReportAge the age of its last load report; negative if there is
@@ -123,6 +129,8 @@
 	meanSlowdown float64
 	// lastUrgentAt is the time of the last request whose objective is short compared with its work; see Urgent.
 	lastUrgentAt time.Time
+	// lastTrialAt is the time of the last trial request, lastReportAt that of the last load report of any server.
+	lastTrialAt, lastReportAt time.Time
 }
 
 // serverState is the state of one backend server as seen by this VM.
@@ -142,6 +150,8 @@
 	fullUntil, unreachableUntil time.Time
 	unreachableCount            int
 	misdirected                 bool
+	// answeredAt is the time of the last response; zero if the server had no capacity since.
+	answeredAt time.Time
 }
 
 // New returns the balancer of a VM at the location self. The seed determines how ties between servers are broken.
@@ -160,7 +170,8 @@
 	for name, infos := range view.ByService {
 		svc := &serviceState{meanSlowdown: initialSlowdown}
 		if old, ok := oldServices[name]; ok {
-			svc.meanSlowdown, svc.lastUrgentAt = old.meanSlowdown, old.lastUrgentAt
+			*svc = *old
+			svc.servers = nil
 		}
 		for _, info := range infos {
 			key := ServerKeyOf(info)
@@ -198,7 +209,11 @@
 	slowdown := best.slowdown(svc, now)
 	expected := b.expect(svc, best, r, now)
 	c = Choice{Server: best.info, Key: best.key, InFlight: best.totalInFlight, Slowdown: slowdown, ReportAge: -1,
-		WithinLimits: b.withinLimits(best, r, expected), Expected: time.Duration(expected.millis * float64(time.Millisecond))}
+		WithinLimits: b.withinLimits(best, r, expected), Expected: duration(expected.millis), RoundTrip: duration(b.roundTrip(best))}
+	c.Trial = !c.WithinLimits && b.mayTry(svc, best, r, now)
+	if c.Trial && !b.answersTrials(best, now) {
+		svc.lastTrialAt = now
+	}
 	if !best.reportedAt.IsZero() {
 		c.ReportAge = now.Sub(best.reportedAt)
 	}
@@ -286,7 +301,7 @@
 	}
 	s.report, s.reportedAt = report, at
 	if svc := b.services[s.info.Service]; svc != nil {
-		svc.meanSlowdown += (report.Slowdown - svc.meanSlowdown) * meanSlowdownWeight
+		svc.recordSlowdown(report.Slowdown, at)
 	}
 }
 
--- a/pkg/balance/cost.go
+++ b/pkg/balance/cost.go
@@ -72,7 +72,11 @@
 	if r.NonIdempotent {
 		maxRate = maxFailureRateOnce
 	}
-	if !b.withinLimits(s, r, expected) || failureRate > maxRate {
+	switch within := b.withinLimits(s, r, expected); {
+	case within && failureRate <= maxRate:
+	case !within && failureRate <= maxRate && b.mayTry(svc, s, r, now):
+		cost += trialCost
+	default:
 		cost += outsideLimitsCost
 	}
 	cost += failureRate * failureCost * ms(r.Objective)
@@ -104,15 +108,21 @@
 
 // withinLimits reports whether a server with an expectation is within the limits of a request.
 func (b *Balancer) withinLimits(s *serverState, r Request, e expectation) bool {
-	if r.OwnRegion && s.info.Region != b.self.Region {
-		return false
-	}
 	limit := r.MaxLatency
 	if e.queued {
 		limit = r.MaxQueueLatency
 	}
-	return (limit == 0 || e.millis <= ms(limit)) &&
-		(r.FreeSlots == 0 || s.totalInFlight+min(r.FreeSlots, s.info.Slots) <= s.info.Slots)
+	return (limit == 0 || e.millis <= ms(limit)) && b.regionAllowed(s, r) && s.hasFreeSlots(r)
+}
+
+// regionAllowed reports whether a request may be sent to the region of a server.
+func (b *Balancer) regionAllowed(s *serverState, r Request) bool {
+	return !r.OwnRegion || s.info.Region == b.self.Region
+}
+
+// hasFreeSlots reports whether the counted requests leave the free slots that a request needs.
+func (s *serverState) hasFreeSlots(r Request) bool {
+	return r.FreeSlots == 0 || s.totalInFlight+min(r.FreeSlots, s.info.Slots) <= s.info.Slots
 }
 
 // expect returns what is expected of a server: work, time in its queue and round trip.
@@ -134,13 +144,18 @@
 	if queued > 0 {
 		total += work * float64(queued) / float64(slots)
 	}
+	return expectation{millis: total + b.roundTrip(s), queued: queued > 0}
+}
+
+// roundTrip returns the assumed round-trip time to a server in ms.
+func (b *Balancer) roundTrip(s *serverState) float64 {
 	switch {
 	case s.info.Region != b.self.Region:
-		total += crossRegionDelay
+		return crossRegionDelay
 	case s.info.DataCentre != b.self.DataCentre:
-		total += crossDataCentreDelay
+		return crossDataCentreDelay
 	}
-	return expectation{millis: total, queued: queued > 0}
+	return 0
 }
 
 // reportedInFlight returns the number of running and waiting requests in the last load report of a server, or assumedInFlight
@@ -174,7 +189,7 @@
 func (s *serverState) recordOutcome(o Outcome, now time.Time) {
 	switch o {
 	case Full:
-		s.fullUntil = now.Add(fullBackoff)
+		s.fullUntil, s.answeredAt = now.Add(fullBackoff), time.Time{}
 		return
 	case Misdirected:
 		s.misdirected = true
@@ -189,7 +204,7 @@
 		s.unreachableCount++
 		s.unreachableUntil = now.Add(backoff)
 	case Success:
-		s.unreachableCount, s.unreachableUntil = 0, time.Time{}
+		s.unreachableCount, s.unreachableUntil, s.answeredAt = 0, time.Time{}, now
 	}
 	failed := 1.0
 	if o == Success {
@@ -200,3 +215,5 @@
 }
 
 func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+func duration(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
--- /dev/null
+++ b/pkg/balance/trial.go
@@ -0,0 +1,56 @@
+package balance
+
+import "time"
+
+const (
+	// trialInterval is the interval at which a VM sends trial requests to a service, apart from those to servers that answer them.
+	trialInterval = 200 * time.Millisecond
+	// trialCost, in ms, makes a server that may get a trial request the choice after the servers within the limits of the request.
+	trialCost = 2_500.0
+	// knownLoadAge is the age up to which a load report counts as knowledge. The slowdown in an older one has lost its weight.
+	knownLoadAge = 500 * time.Millisecond
+	// trialSlowdownWeight is the weight in the mean slowdown of a service of the load report that a trial request brings.
+	trialSlowdownWeight = 0.5
+)
+
+// mayTry reports whether a server may get the request as a trial although its expected response time exceeds the limit. Without
+// trials an expectation that rests on an assumption would never be corrected: nothing is sent, so that no response arrives. The
+// limits that rest on knowledge apply to a trial, too: the counted requests have to leave the free slots that the request needs.
+func (b *Balancer) mayTry(svc *serviceState, s *serverState, r Request, now time.Time) bool {
+	if len(r.Exclude) > 0 || now.Before(s.fullUntil) || now.Before(s.unreachableUntil) {
+		return false
+	}
+	r.FreeSlots = max(1, r.FreeSlots)
+	if !b.regionAllowed(s, r) || !s.hasFreeSlots(r) {
+		return false
+	}
+	if s.loadKnown(now) && !r.WorkUnknown {
+		return false
+	}
+	return now.Sub(svc.lastTrialAt) >= trialInterval || b.answersTrials(s, now)
+}
+
+// loadKnown reports whether the last load report of a server is recent.
+func (s *serverState) loadKnown(now time.Time) bool {
+	return !s.reportedAt.IsZero() && now.Sub(s.reportedAt) <= knownLoadAge
+}
+
+// answersTrials reports whether a server, whose load neither load reports nor shared counts tell, has just answered and has no request
+// of this VM.
+func (b *Balancer) answersTrials(s *serverState, now time.Time) bool {
+	return s.reportedAt.IsZero() && !b.countsShared(s) && s.ownInFlight == 0 &&
+		!s.answeredAt.IsZero() && now.Sub(s.answeredAt) <= maxReportAge
+}
+
+// recordSlowdown updates the mean slowdown of a service with a load report. While no reports arrive, the mean is an assumption, which
+// the report that a trial brings corrects soon.
+func (svc *serviceState) recordSlowdown(slowdown float64, at time.Time) {
+	weight := meanSlowdownWeight
+	if svc.lastTrialAt.After(svc.lastReportAt) && at.Sub(svc.lastReportAt) > knownLoadAge {
+		weight = trialSlowdownWeight
+	}
+	svc.meanSlowdown += (slowdown - svc.meanSlowdown) * weight
+	if at.After(svc.lastReportAt) {
+		svc.lastReportAt = at
+	}
+}
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -92,7 +92,7 @@
 		cancel()
 	}
 	if r.delivered {
-		g.estimates.record(a.route, now.Sub(started), a.choice.Slowdown, a.responseBodySize())
+		g.estimates.record(a.route, a.choice, now.Sub(started), a.responseBodySize())
 	}
 	event := loadshare.Event{Key: key, Outcome: &r.outcome, LoadReport: head.LoadReport, ReportedAt: now}
 	if head.LoadReport != nil {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -93,7 +93,7 @@
 func New(o Options) *Gateway {
 	g := &Gateway{Options: o,
 		availability: availability.Recorder{Clock: o.Clock, Balancer: o.Balancer, Servers: o.Servers, Publish: o.Publish},
-		watcher:      ingress.NewDisconnectWatcher(), estimates: newRouteEstimates(), startedAt: o.Clock.Now(),
+		watcher:      ingress.NewDisconnectWatcher(), estimates: newRouteEstimates(o.Clock), startedAt: o.Clock.Now(),
 		requestBodies:  bodybuffer.NewBudget(requestBudget, requestsNotBuffered),
 		responseBodies: bodybuffer.NewBudget(responseBudget, responsesNotBuffered)}
 	g.server = &fasthttp.Server{
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -168,7 +168,8 @@
 	wait, elapsed := g.waitLimits(c), now.Sub(c.arrivedAt)
 	limits.freeSlots = max(limits.freeSlots, wait.freeSlots(elapsed))
 	choice, ok := g.Balancer.Pick(balance.Request{
-		Service: c.service, Work: g.estimates.work(c.route), Objective: c.route.Objective, NonIdempotent: !c.route.Idempotent,
+		Service: c.service, Work: g.estimates.work(c.route), WorkUnknown: g.estimates.workUnknown(c.route),
+		Objective: c.route.Objective, NonIdempotent: !c.route.Idempotent,
 		MaxLatency: limits.free, MaxQueueLatency: limits.queued, FreeSlots: limits.freeSlots,
 		OwnRegion: wait.ownRegion(elapsed),
 		Bytes:     c.bodyBytes() + g.estimates.responseBytes(c.route),
@@ -182,7 +183,12 @@
 		return choice, notRun(problem.ReasonNoServer, "no backend server of "+c.service, min(noServerRetryAfter, left/4))
 	case choice.WithinLimits || len(c.sentTo) > 0:
 		return choice, nil
+	case choice.Trial:
+		g.estimates.recordTrial(c.route)
+		c.trace.WriteString("trial ")
+		return choice, nil
 	}
+	g.estimates.recordRefusal(c.route)
 	return choice, notRun(problem.ReasonQueueFull, fmt.Sprintf(
 		"backend servers of %s are full: busy %d, answer expected after %dms, limit %dms, free slots needed %d",
 		c.service, choice.InFlight, choice.Expected.Milliseconds(), limits.free.Milliseconds(), limits.freeSlots),
--- a/pkg/gateway/trial_test.go
+++ b/pkg/gateway/trial_test.go
@@ -28,7 +28,10 @@
 	slowdown    float64
 	reports     bool
 	probed      bool
-	pending     []pendingResponse
+	// full is true if the servers have no capacity. interval is the time between two requests.
+	full     bool
+	interval time.Duration
+	pending  []pendingResponse
 }
 
 type pendingResponse struct {
@@ -39,6 +42,7 @@
 const (
 	learningServers  = 4
 	learningSlots    = 3
+	learningWork     = 90 * time.Millisecond
 	learningInterval = 50 * time.Millisecond
 	probedEvery      = 80 * time.Millisecond
 	regionDelay      = 62 * time.Millisecond
@@ -46,8 +50,9 @@
 
 // newLearningRun returns a run of a VM that has just started, with servers in the given region. The VM is in region "r".
 func newLearningRun(region string, objective time.Duration) *learningRun {
-	r := &learningRun{clock: clock.NewManual(time.Unix(1_800_000_000, 0)), work: 60 * time.Millisecond, slowdown: 1, reports: true,
-		route: &routing.Route{Name: "r", Objective: objective, Timeout: time.Second, MaxAttempts: 1}}
+	r := &learningRun{clock: clock.NewManual(time.Unix(1_800_000_000, 0)), work: learningWork, slowdown: 1, reports: true,
+		interval: learningInterval,
+		route:    &routing.Route{Name: "r", Objective: objective, Timeout: time.Second, MaxAttempts: 1}}
 	r.gateway = New(Options{Clock: r.clock, Balancer: balance.New(balance.Location{DataCentre: "d", Region: "r"}, 1),
 		Servers: upstream.NewTransport(upstream.Options{})})
 	r.replaceServers(region, 1)
@@ -73,7 +78,7 @@
 		if r.probed && elapsed%probedEvery == 0 {
 			r.probe()
 		}
-		if elapsed%learningInterval == 0 {
+		if elapsed%r.interval == 0 {
 			sent++
 			if r.send() {
 				admitted++
@@ -109,11 +114,16 @@
 		if p.dueAt.After(now) {
 			return false
 		}
-		r.gateway.estimates.record(r.route, now.Sub(p.sentAt), p.choice.Slowdown, initialResponseBytes)
+		report, outcome := balance.LoadReport{Slowdown: r.slowdown}, balance.Success
+		if r.full {
+			report.Running, report.Waiting, outcome = learningSlots, learningSlots, balance.Full
+		} else {
+			r.gateway.estimates.record(r.route, p.choice, now.Sub(p.sentAt), initialResponseBytes)
+		}
 		if r.reports {
-			r.gateway.Balancer.RecordLoadReport(p.choice.Key, balance.LoadReport{Slowdown: r.slowdown}, now)
+			r.gateway.Balancer.RecordLoadReport(p.choice.Key, report, now)
 		}
-		r.gateway.Balancer.End(p.choice.Key, balance.Success, now)
+		r.gateway.Balancer.End(p.choice.Key, outcome, now)
 		return true
 	})
 }
@@ -123,6 +133,8 @@
 		learningTime   = 3 * time.Second
 		observedTime   = 5 * time.Second
 		mostlyAdmitted = 0.95
+		// sentPerSecond bounds the requests that a VM sends to servers that are expected to be too slow.
+		sentPerSecond = 10
 	)
 
 	// Guards against a VM that refuses all requests to a service whose servers are all in another region, because it assumes a load
@@ -169,4 +181,20 @@
 		Entry("with the same servers", false),
 		Entry("with other servers", true),
 	)
+
+	// Guards against trial requests in great numbers, which servers of another region that are full or silent would have to refuse
+	// or leave unanswered.
+	DescribeTable("sends few requests on trial to servers in another region",
+		func(reports bool, prepare func(r *learningRun)) {
+			r := newLearningRun("other", 200*time.Millisecond)
+			r.reports, r.delay, r.interval = reports, regionDelay, 5*time.Millisecond
+			prepare(r)
+			sentShare := sentPerSecond * r.interval.Seconds()
+			Expect(r.play(observedTime)).To(BeNumerically("<", sentShare))
+		},
+		Entry("that are full and report it", true, func(r *learningRun) { r.full = true }),
+		Entry("that are full and do not report it", false, func(r *learningRun) { r.full = true }),
+		Entry("that do not answer", false, func(r *learningRun) { r.delay = time.Hour }),
+		Entry("that report that they are slow", true, func(r *learningRun) { r.slowdown = 25 }),
+	)
 })
--- a/pkg/gateway/worktime.go
+++ b/pkg/gateway/worktime.go
@@ -4,6 +4,8 @@
 	"sync"
 	"time"
 
+	"github.com/hornbeamway/hornbeamway/pkg/balance"
+	"github.com/hornbeamway/hornbeamway/pkg/clock"
 	"github.com/hornbeamway/hornbeamway/pkg/routing"
 )
 
@@ -18,6 +20,12 @@
 	initialBulkResponseBytes = 90_000
 	// sampleWeight is the weight of one response in the moving averages.
 	sampleWeight = 0.05
+	// trialSampleWeight is the weight of the response to a request that tests an estimate of the work.
+	trialSampleWeight = 0.5
+	// workTestInterval is the time in which a route had refusals and no response, after which a request tests its work.
+	workTestInterval = time.Second
+	// minWorkShare is the share of a response time that at least counts as work, because the round-trip time is assumed.
+	minWorkShare = 0.5
 	// longestWaitWeight is the weight with which a shorter wait lowers the longest wait of a route's callers. A wait of at least
 	// firstTryWaitShare of the longest one counts as that of a first try, because callers of one route differ in their waits.
 	longestWaitWeight = 0.002
@@ -27,6 +35,7 @@
 // routeEstimates holds moving estimates for the requests of each route: work, response size and longest wait of a caller. It is
 // safe for concurrent use.
 type routeEstimates struct {
+	clock  clock.Clock
 	mu     sync.Mutex
 	routes map[string]*routeEstimate
 }
@@ -35,9 +44,15 @@
 	work          float64 // time at a slowdown of 1, in nanoseconds
 	responseBytes float64
 	longestWait   float64 // longest recent wait of a caller, in nanoseconds
+	// refusedSince is the time of the first refusal since the last response or test of the work; zero if there is none. testing is
+	// true until the response to the request that tests it.
+	refusedSince time.Time
+	testing      bool
 }
 
-func newRouteEstimates() *routeEstimates { return &routeEstimates{routes: map[string]*routeEstimate{}} }
+func newRouteEstimates(c clock.Clock) *routeEstimates {
+	return &routeEstimates{clock: c, routes: map[string]*routeEstimate{}}
+}
 
 // get returns the estimate of a route and creates it if it does not exist. The caller holds the lock.
 func (e *routeEstimates) get(r *routing.Route) *routeEstimate {
@@ -59,6 +74,37 @@
 	return time.Duration(e.get(r).work)
 }
 
+// workUnknown reports whether the work of a route is an assumption for which requests are refused, so that no response confirms it.
+func (e *routeEstimates) workUnknown(r *routing.Route) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.get(r).unknown(e.clock.Now())
+}
+
+// unknown is workUnknown for one route, at the time now.
+func (estimate *routeEstimate) unknown(now time.Time) bool {
+	return !estimate.refusedSince.IsZero() && now.Sub(estimate.refusedSince) >= workTestInterval
+}
+
+// recordRefusal records that a request of a route is refused because no server is expected to answer it in time.
+func (e *routeEstimates) recordRefusal(r *routing.Route) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if estimate := e.get(r); estimate.refusedSince.IsZero() {
+		estimate.refusedSince = e.clock.Now()
+	}
+}
+
+// recordTrial records that a trial request of a route is sent. If the work is unknown, the next response has a high weight.
+func (e *routeEstimates) recordTrial(r *routing.Route) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	estimate, now := e.get(r), e.clock.Now()
+	if estimate.unknown(now) {
+		estimate.refusedSince, estimate.testing = now, true
+	}
+}
+
 // priorWait records the wait that a caller states, and returns a lower bound on the time for which the caller has already been
 // retrying. A caller that retries within its total wait states the remaining time, which is shorter than that of the first try.
 func (e *routeEstimates) priorWait(r *routing.Route, wait time.Duration) time.Duration {
@@ -79,13 +125,19 @@
 	return e.get(r).responseBytes
 }
 
-// record updates the estimates of a route with the response time and size of a response. The time is divided by the slowdown of
-// the server. It is limited to twice the current estimate, because some times include a wait for a slot.
-func (e *routeEstimates) record(r *routing.Route, took time.Duration, slowdown float64, bytes int) {
+// record updates the estimates of a route with the response time and size of a response from the chosen server. The time without the
+// round trip is divided by the slowdown of the server. It is limited to twice the current estimate, because some times include a wait
+// for a slot.
+func (e *routeEstimates) record(r *routing.Route, choice balance.Choice, took time.Duration, bytes int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	estimate := e.get(r)
-	sample := min(float64(took)/max(slowdown, 0.1), 2*estimate.work)
-	estimate.work += (sample - estimate.work) * sampleWeight
+	estimate, weight := e.get(r), sampleWeight
+	if estimate.testing {
+		weight = trialSampleWeight
+	}
+	estimate.refusedSince, estimate.testing = time.Time{}, false
+	work := max(float64(took-choice.RoundTrip), minWorkShare*float64(took))
+	sample := min(work/max(choice.Slowdown, 0.1), 2*estimate.work)
+	estimate.work += (sample - estimate.work) * weight
 	estimate.responseBytes += (float64(bytes) - estimate.responseBytes) * sampleWeight
 }
