balance: fewer trial requests while something is known of a service

Change: a trial per service in 2 s; in 200 ms only while there is no recent load report of any server of the service. Servers that answer without load reports get further trials only in such a service.

--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -125,6 +125,8 @@
 // serviceState holds the servers of a service and the state that they share.
 type serviceState struct {
 	servers []*serverState
+	// ownRegion is true if one of the servers is in the region of this VM.
+	ownRegion bool
 	// meanSlowdown is the moving average of the reported slowdowns.
 	meanSlowdown float64
 	// lastUrgentAt is the time of the last request whose objective is short compared with its work; see Urgent.
@@ -171,7 +173,7 @@
 		svc := &serviceState{meanSlowdown: initialSlowdown}
 		if old, ok := oldServices[name]; ok {
 			*svc = *old
-			svc.servers = nil
+			svc.servers, svc.ownRegion = nil, false
 		}
 		for _, info := range infos {
 			key := ServerKeyOf(info)
@@ -181,6 +183,7 @@
 			}
 			s.info = info
 			svc.servers = append(svc.servers, s)
+			svc.ownRegion = svc.ownRegion || info.Region == b.self.Region
 			b.servers[key] = s
 		}
 		b.services[name] = svc
@@ -211,7 +214,7 @@
 	c = Choice{Server: best.info, Key: best.key, InFlight: best.totalInFlight, Slowdown: slowdown, ReportAge: -1,
 		WithinLimits: b.withinLimits(best, r, expected), Expected: duration(expected.millis), RoundTrip: duration(b.roundTrip(best))}
 	c.Trial = !c.WithinLimits && b.mayTry(svc, best, r, now)
-	if c.Trial && !b.answersTrials(best, now) {
+	if c.Trial && !b.answersTrials(svc, best, now) {
 		svc.lastTrialAt = now
 	}
 	if !best.reportedAt.IsZero() {
--- a/pkg/balance/trial.go
+++ b/pkg/balance/trial.go
@@ -3,8 +3,10 @@
 import "time"
 
 const (
-	// trialInterval is the interval at which a VM sends trial requests to a service, apart from those to servers that answer them.
-	trialInterval = 200 * time.Millisecond
+	// trialInterval is the interval at which a VM sends trial requests to a service, and unknownServiceTrialInterval that while nothing
+	// is known of any of its servers.
+	trialInterval               = 2 * time.Second
+	unknownServiceTrialInterval = 200 * time.Millisecond
 	// trialCost, in ms, makes a server that may get a trial request the choice after the servers within the limits of the request.
 	trialCost = 2_500.0
 	// knownLoadAge is the age up to which a load report counts as knowledge. The slowdown in an older one has lost its weight.
@@ -27,7 +29,25 @@
 	if s.loadKnown(now) && !r.WorkUnknown {
 		return false
 	}
-	return now.Sub(svc.lastTrialAt) >= trialInterval || b.answersTrials(s, now)
+	return svc.trialDue(now) || b.answersTrials(svc, s, now)
+}
+
+// trialDue reports whether the interval since the last trial request has passed.
+func (svc *serviceState) trialDue(now time.Time) bool {
+	interval := trialInterval
+	if !svc.loadKnown(now) {
+		interval = unknownServiceTrialInterval
+	}
+	return now.Sub(svc.lastTrialAt) >= interval
+}
+
+// loadKnown reports whether something is known of the load of a service: a recent load report of any server or, if its servers send
+// none, the shared counts of those in the region of this VM.
+func (svc *serviceState) loadKnown(now time.Time) bool {
+	if svc.lastReportAt.IsZero() {
+		return svc.ownRegion
+	}
+	return now.Sub(svc.lastReportAt) <= knownLoadAge
 }
 
 // loadKnown reports whether the last load report of a server is recent.
@@ -35,10 +55,9 @@
 	return !s.reportedAt.IsZero() && now.Sub(s.reportedAt) <= knownLoadAge
 }
 
-// answersTrials reports whether a server, whose load neither load reports nor shared counts tell, has just answered and has no request
-// of this VM.
-func (b *Balancer) answersTrials(s *serverState, now time.Time) bool {
-	return s.reportedAt.IsZero() && !b.countsShared(s) && s.ownInFlight == 0 &&
+// answersTrials reports whether a server of a service of unknown load has just answered and has no request of this VM.
+func (b *Balancer) answersTrials(svc *serviceState, s *serverState, now time.Time) bool {
+	return !svc.loadKnown(now) && s.reportedAt.IsZero() && s.ownInFlight == 0 &&
 		!s.answeredAt.IsZero() && now.Sub(s.answeredAt) <= maxReportAge
 }
 
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -185,7 +185,7 @@
 		return choice, nil
 	case choice.Trial:
 		g.estimates.recordTrial(c.route)
-		c.trace.WriteString("trial ")
+		c.trace.WriteString(" trial")
 		return choice, nil
 	}
 	g.estimates.recordRefusal(c.route)
