balance: rare trial requests to another region while the load of the own one is known

Change: a trial in 10 s while the load of the servers in the own region is known, by reports or shared counts, because these are used first; otherwise one in 200 ms. A trial that tests the work of a route is bounded by its route (one a second) and neither waits for that interval nor uses it up.

Why it works: the other region is still tried when the own one has no servers or is silent, and now and then when it is overloaded; the VMs of a region share the load reports that trials bring.

--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -131,8 +131,9 @@
 	meanSlowdown float64
 	// lastUrgentAt is the time of the last request whose objective is short compared with its work; see Urgent.
 	lastUrgentAt time.Time
-	// lastTrialAt is the time of the last trial request, lastReportAt that of the last load report of any server.
-	lastTrialAt, lastReportAt time.Time
+	// lastTrialAt is the time of the last trial request, lastReportAt that of the last load report of any server, and
+	// ownRegionReportAt that of the last one of a server in the region of this VM.
+	lastTrialAt, lastReportAt, ownRegionReportAt time.Time
 }
 
 // serverState is the state of one backend server as seen by this VM.
@@ -214,7 +215,7 @@
 	c = Choice{Server: best.info, Key: best.key, InFlight: best.totalInFlight, Slowdown: slowdown, ReportAge: -1,
 		WithinLimits: b.withinLimits(best, r, expected), Expected: duration(expected.millis), RoundTrip: duration(b.roundTrip(best))}
 	c.Trial = !c.WithinLimits && b.mayTry(svc, best, r, now)
-	if c.Trial && !b.answersTrials(svc, best, now) {
+	if c.Trial && svc.trialDue(now) && !b.answersTrials(svc, best, now) {
 		svc.lastTrialAt = now
 	}
 	if !best.reportedAt.IsZero() {
@@ -304,7 +305,7 @@
 	}
 	s.report, s.reportedAt = report, at
 	if svc := b.services[s.info.Service]; svc != nil {
-		svc.recordSlowdown(report.Slowdown, at)
+		svc.recordSlowdown(report.Slowdown, s.info.Region == b.self.Region, at)
 	}
 }
 
--- a/pkg/balance/trial.go
+++ b/pkg/balance/trial.go
@@ -3,10 +3,10 @@
 import "time"
 
 const (
-	// trialInterval is the interval at which a VM sends trial requests to a service, and unknownServiceTrialInterval that while nothing
-	// is known of any of its servers.
-	trialInterval               = 2 * time.Second
-	unknownServiceTrialInterval = 200 * time.Millisecond
+	// trialInterval is the interval at which a VM sends trial requests to servers of unknown load of a service, and spareTrialInterval
+	// that while it knows the load of those in its region, which are used first.
+	trialInterval      = 200 * time.Millisecond
+	spareTrialInterval = 10 * time.Second
 	// trialCost, in ms, makes a server that may get a trial request the choice after the servers within the limits of the request.
 	trialCost = 2_500.0
 	// knownLoadAge is the age up to which a load report counts as knowledge. The slowdown in an older one has lost its weight.
@@ -26,28 +26,22 @@
 	if !b.regionAllowed(s, r) || !s.hasFreeSlots(r) {
 		return false
 	}
-	if s.loadKnown(now) && !r.WorkUnknown {
-		return false
-	}
-	return svc.trialDue(now) || b.answersTrials(svc, s, now)
+	return r.WorkUnknown || !s.loadKnown(now) && (svc.trialDue(now) || b.answersTrials(svc, s, now))
 }
 
-// trialDue reports whether the interval since the last trial request has passed.
+// trialDue reports whether the interval since the last trial request to a server of unknown load has passed.
 func (svc *serviceState) trialDue(now time.Time) bool {
 	interval := trialInterval
-	if !svc.loadKnown(now) {
-		interval = unknownServiceTrialInterval
+	if svc.loadKnown(now) {
+		interval = spareTrialInterval
 	}
 	return now.Sub(svc.lastTrialAt) >= interval
 }
 
-// loadKnown reports whether something is known of the load of a service: a recent load report of any server or, if its servers send
-// none, the shared counts of those in the region of this VM.
+// loadKnown reports whether the load of the servers in the region of this VM is known: by a recent load report of one of them or, if
+// they send none, by the shared counts.
 func (svc *serviceState) loadKnown(now time.Time) bool {
-	if svc.lastReportAt.IsZero() {
-		return svc.ownRegion
-	}
-	return now.Sub(svc.lastReportAt) <= knownLoadAge
+	return svc.ownRegion && (svc.ownRegionReportAt.IsZero() || now.Sub(svc.ownRegionReportAt) <= knownLoadAge)
 }
 
 // loadKnown reports whether the last load report of a server is recent.
@@ -62,8 +56,8 @@
 }
 
 // recordSlowdown updates the mean slowdown of a service with a load report. While no reports arrive, the mean is an assumption, which
-// the report that a trial brings corrects soon.
-func (svc *serviceState) recordSlowdown(slowdown float64, at time.Time) {
+// the report that a trial brings corrects soon. ownRegion is true if the server is in the region of this VM.
+func (svc *serviceState) recordSlowdown(slowdown float64, ownRegion bool, at time.Time) {
 	weight := meanSlowdownWeight
 	if svc.lastTrialAt.After(svc.lastReportAt) && at.Sub(svc.lastReportAt) > knownLoadAge {
 		weight = trialSlowdownWeight
@@ -72,4 +66,7 @@
 	if at.After(svc.lastReportAt) {
 		svc.lastReportAt = at
 	}
+	if ownRegion && at.After(svc.ownRegionReportAt) {
+		svc.ownRegionReportAt = at
+	}
 }
--- a/pkg/balance/trial_test.go
+++ b/pkg/balance/trial_test.go
@@ -34,6 +34,26 @@
 		Expect(trials).To(Equal(5))
 	})
 
+	// Guards against trial requests in great numbers that take slots of another region while both regions have a high load, and
+	// against tests of the work that use up the trials of the other routes.
+	It("seldom sends a trial request while the servers in its region report that they are slow", func() {
+		x := server("x", "a1", "a")
+		b, trials := newBalancer(far, x), 0
+		test := farLookup
+		test.WorkUnknown = true
+		for elapsed := time.Duration(0); elapsed < 25*time.Second; elapsed += 10 * time.Millisecond {
+			now := start.Add(elapsed)
+			b.RecordLoadReport(balance.ServerKeyOf(x), balance.LoadReport{Slowdown: 5}, now)
+			if choose(b, farLookup, now).Trial {
+				trials++
+			}
+			if elapsed%time.Second == 500*time.Millisecond {
+				Expect(choose(b, test, now).Trial).To(BeTrue())
+			}
+		}
+		Expect(trials).To(Equal(3))
+	})
+
 	// Guards against a trial request that takes the place of one that can be answered within its limits.
 	It("prefers a server within the limits", func() {
 		b := newBalancer(far, server("x", "a1", "a"))
