--- a/pkg/prober/prober_test.go
+++ b/pkg/prober/prober_test.go
@@ -184,6 +184,24 @@
 		Consistently(probes.Load, "300ms").Should(BeEquivalentTo(1))
 	})
 
+	// Guards against probes of a server that has asked, in the response to a probe, for no requests for some time.
+	It("does not probe a server before the time that it has asked for has passed", func() {
+		const hold = 800 * time.Millisecond
+		writeBody = func(w http.ResponseWriter) {
+			w.Header().Set("Retry-After", strconv.FormatFloat(hold.Seconds(), 'f', -1, 64))
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+		startProber("a", true)
+		balancer.Pick(urgentRequest, time.Now())
+		Eventually(func() balance.Availability { return balancer.Availability(server, time.Now()) }).Should(Equal(balance.HeldOff))
+		probed := func() int64 {
+			balancer.Pick(urgentRequest, time.Now())
+			return probes.Load()
+		}
+		Consistently(probed, hold/2).Should(BeEquivalentTo(1))
+		Eventually(probed, 2*hold).Should(BeNumerically(">", 1))
+	})
+
 	// Guards against a server that is held off a second time by the copy of its refusal of a request, which arrives where the response
 	// to a probe is due.
 	It("does not take the response to a request for that to a probe", func() {
