platform: bound the memory of what the store sends

Seen by callers: nothing yet. A faulty store, or one that holds what another writer put there, could exhaust the memory of a VM, and with it end the requests of its callers: one response of 8 MiB held 2 million empty records, which took 545 MB, and responses followed each other without a bound until the timeout of the read. A response of 2.8 million empty items was taken as the list of servers.

Cause: a bound for the text of one response, none for what it is decoded to or for all responses of a read.

More changes than that are no outage: the newest record of each key is read in their place (directory.ErrTooManyRecords), as when the changes have expired.

--- a/pkg/directory/fixture_test.go
+++ b/pkg/directory/fixture_test.go
@@ -39,6 +39,8 @@
 	mu          sync.Mutex
 	down        bool
 	firstOffset int64
+	// maxRecords is the largest number of records that one read returns; zero: no limit.
+	maxRecords  int
 	records     map[Topic][]Record
 	readCalls   int
 	newestCalls int
@@ -97,6 +99,8 @@
 		return Batch{}, ErrUnavailable
 	case from < f.firstOffset:
 		return Batch{}, ErrExpired
+	case f.maxRecords > 0 && len(f.records[topic][from:]) > f.maxRecords:
+		return Batch{}, ErrTooManyRecords
 	}
 	return Batch{Records: append([]Record(nil), f.records[topic][from:]...), Next: int64(len(f.records[topic]))}, nil
 }
--- a/pkg/directory/follower.go
+++ b/pkg/directory/follower.go
@@ -252,18 +252,18 @@
 	return nil
 }
 
-// readTopic reads the records from an offset on if incremental is true and they have not expired, and otherwise the newest
-// record of each key; complete is true in the second case.
+// readTopic reads the records from an offset on if incremental is true and they have not expired and are not too many, and otherwise the
+// newest record of each key; complete is true in the second case.
 func (f *Follower) readTopic(ctx context.Context, topic Topic, from int64, incremental bool) (
 	batch Batch, complete bool, err error,
 ) {
 	if incremental {
 		storeReads.Inc()
 		batch, err = f.store.Read(ctx, topic, from)
-		if !errors.Is(err, ErrExpired) {
+		if !errors.IsAny(err, ErrExpired, ErrTooManyRecords) {
 			return batch, false, err
 		}
-		klog.InfoS("records have expired; reading the newest of each key", "topic", topic, "from", from)
+		klog.InfoS("reading the newest record of each key", "topic", topic, "from", from, "reason", err)
 	}
 	storeReads.Inc()
 	batch, err = f.store.Newest(ctx, topic)
--- a/pkg/directory/types.go
+++ b/pkg/directory/types.go
@@ -18,6 +18,8 @@
 	ErrUnavailable = errors.New("store unavailable")
 	// ErrExpired reports that the store no longer retains the records at the requested offset.
 	ErrExpired = errors.New("records have expired")
+	// ErrTooManyRecords reports that a topic holds more records than fit into the memory for one read.
+	ErrTooManyRecords = errors.New("too many records")
 )
 
 // Topic is a kind of record in the store.
@@ -58,9 +60,10 @@
 
 // Store reads and writes records in the platform's store.
 type Store interface {
-	// Newest returns the newest record of each key. Error: ErrUnavailable.
+	// Newest returns the newest record of each key. Error: ErrUnavailable, also if there are too many.
 	Newest(ctx context.Context, topic Topic) (Batch, error)
-	// Read returns the records from an offset on. It does not wait for new ones. Errors: ErrUnavailable, ErrExpired.
+	// Read returns the records from an offset on. It does not wait for new ones. Errors: ErrUnavailable, ErrExpired,
+	// ErrTooManyRecords.
 	Read(ctx context.Context, topic Topic, from int64) (Batch, error)
 	// Publish sets a record of the topic VMs, or removes it if value is empty. The write may still take effect after
 	// ErrUnavailable.
