--- a/pkg/directory/snapshot.go
+++ b/pkg/directory/snapshot.go
@@ -9,13 +9,16 @@
 
 	"github.com/cockroachdb/errors"
 	"k8s.io/klog/v2"
+
+	"github.com/hornbeamway/hornbeamway/pkg/jsonlist"
 )
 
 const (
 	// maxRecordedRemovals bounds the removed servers that are recorded for VMs with an older revision.
 	maxRecordedRemovals = 512
-	// maxDecompressedBytes bounds the decompressed size of a configuration or of the servers.
-	maxDecompressedBytes = 16 << 20
+	// maxConfigBytes and maxServersBytes bound the decompressed size of a configuration and of the servers.
+	maxConfigBytes  = 2 << 20
+	maxServersBytes = 16 << 20
 )
 
 // history records the revision at which each server changed, so that a VM that is a few revisions behind is sent only the
@@ -121,7 +124,7 @@
 	defer s.mu.Unlock()
 	now := s.clock.Now()
 	if snap.ConfigVersion > s.digest.ConfigVersion && snap.ConfigKey != "" {
-		if record, err := decompress(snap.ConfigRecord); err != nil {
+		if record, err := decompressConfig(snap.ConfigRecord); err != nil {
 			klog.InfoS("ignored the configuration from another VM", "vm", from, "err", err)
 		} else {
 			s.activateConfigurationLocked(snap.ConfigKey, record, from, snap.ConfigNext)
@@ -192,11 +195,13 @@
 	}
 }
 
-func decompressServers(compressed []byte) (servers []Server, err error) {
-	data, err := decompress(compressed)
-	if err == nil {
-		err = json.Unmarshal(data, &servers)
+// decompressServers decodes the servers while it decompresses them, so that their text is not held in memory.
+func decompressServers(compressed []byte) ([]Server, error) {
+	r, err := gzip.NewReader(bytes.NewReader(compressed))
+	if err != nil {
+		return nil, errors.Wrap(err, "decompress the servers")
 	}
+	servers, err := jsonlist.Decode[Server](io.LimitReader(r, maxServersBytes), maxServers)
 	return servers, errors.Wrap(err, "decompress and decode the servers")
 }
 
@@ -209,10 +214,15 @@
 	return b.Bytes()
 }
 
-func decompress(data []byte) ([]byte, error) {
-	r, err := gzip.NewReader(bytes.NewReader(data))
+// decompressConfig returns the record of a configuration.
+func decompressConfig(compressed []byte) ([]byte, error) {
+	r, err := gzip.NewReader(bytes.NewReader(compressed))
 	if err != nil {
 		return nil, err
 	}
-	return io.ReadAll(io.LimitReader(r, maxDecompressedBytes))
+	record, err := io.ReadAll(io.LimitReader(r, maxConfigBytes+1))
+	if err == nil && len(record) > maxConfigBytes {
+		return nil, errors.Newf("configuration is larger than %d bytes", maxConfigBytes)
+	}
+	return record, err
 }
--- a/pkg/directory/types.go
+++ b/pkg/directory/types.go
@@ -4,11 +4,13 @@
 package directory
 
 import (
+	"bytes"
 	"context"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/hornbeamway/hornbeamway/pkg/jsonlist"
 	"github.com/hornbeamway/hornbeamway/pkg/routing"
 )
 
@@ -148,6 +150,18 @@
 	ServersRevision int64 `json:"serversRevision"`
 }
 
+// maxServers bounds the servers that are decoded from a snapshot.
+const maxServers = 50_000
+
+// ServerList is a list of servers from another VM.
+type ServerList []Server
+
+// UnmarshalJSON implements json.Unmarshaler. It rejects a list of more than maxServers.
+func (l *ServerList) UnmarshalJSON(data []byte) (err error) {
+	*l, err = jsonlist.Decode[Server](bytes.NewReader(data), maxServers)
+	return err
+}
+
 // Snapshot holds the configuration and the servers of a VM as far as they are newer than those of the VM that requests it.
 type Snapshot struct {
 	Digest
@@ -157,10 +171,10 @@
 	ConfigRecord []byte `json:"configRecord,omitempty"`
 	// Since is the revision from which on Servers and Removed list the changes; 0 means that the snapshot holds all servers.
 	// CompressedServers then holds them as compressed JSON in place of Servers.
-	CompressedServers []byte   `json:"all,omitempty"`
-	Since             int64    `json:"since,omitempty"`
-	Servers           []Server `json:"servers,omitempty"`
-	Removed           []string `json:"removed,omitempty"`
+	CompressedServers []byte     `json:"all,omitempty"`
+	Since             int64      `json:"since,omitempty"`
+	Servers           ServerList `json:"servers,omitempty"`
+	Removed           []string   `json:"removed,omitempty"`
 	// Lapsed maps the ids of servers whose records lapsed during an outage of the store to the milliseconds for which they
 	// are still used.
 	Lapsed map[string]int64 `json:"lapsed,omitempty"`
