--- a/pkg/directory/directory_test.go
+++ b/pkg/directory/directory_test.go
@@ -106,13 +106,13 @@
 
 	// Guards against a VM that can never read the store again once it is so far behind that the changes do not fit into its memory.
 	It("reads the newest records when there are too many changes", func() {
-		step()
-		store.maxRecords = 1
+		f.step()
+		f.store.maxRecords = 1
 		for range 3 {
-			store.put(Servers, "b", nil)
+			f.store.put(Servers, "b", nil)
 		}
-		advance(1100 * time.Millisecond)
-		Expect(usableIDs()).To(Equal([]string{"a"}))
+		f.advance(1100 * time.Millisecond)
+		Expect(f.usableIDs()).To(Equal([]string{"a"}))
 	})
 
 	// Guards against all VMs reading the store: its calls are billed and their rate is limited.
