--- a/pkg/gateway/leaving_test.go
+++ b/pkg/gateway/leaving_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"strconv"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -152,6 +153,27 @@
 		Expect(first.count()).To(Equal(2))
 	})
 
+	// Guards against a server that is chosen for a request before its body has arrived, and states meanwhile that it is leaving.
+	DescribeTable("sends a request whose body arrives later to another server", func(size int) {
+		const firstPart = 200_000
+		first, second := startBackend(respondLeaving), startBackend(respondCorrectly)
+		f := startGateway(first, second)
+		upload := f.dial()
+		_, err := fmt.Fprintf(upload, "POST /upload/ HTTP/1.1\r\nHost: h\r\nId: upload\r\nContent-Length: %d\r\n\r\n%s", size,
+			strings.Repeat("x", firstPart))
+		Expect(err).NotTo(HaveOccurred())
+		time.Sleep(100 * time.Millisecond)
+		Expect(f.roundTrip("GET", "/safe/", "view").StatusCode).To(Equal(200))
+		_, err = io.WriteString(upload, strings.Repeat("x", size-firstPart))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(upload.receive().StatusCode).To(Equal(200))
+		Expect(first.count()).To(Equal(1))
+		Expect(second.count()).To(Equal(1))
+	},
+		Entry("one that is buffered", 250_000),
+		Entry("one that is streamed", 400_000),
+	)
+
 	// Guards against a statement that is only read from a complete, successful response.
 	DescribeTable("applies the statement whatever the response is", func(method, path string, status int, body string, headers ...string) {
 		first := startBackend(func(r *receivedRequest, c net.Conn) bool {
