balance: no weight of its own for the slowdown that a trial reports

The weight of one half in the mean slowdown after 500 ms without load reports changed the result of no spec when it was taken back: the trials themselves, one in 200 ms while the load is not known, serve the requests until the mean has followed. One constant and a function less. The other parts are needed: each of these changes, taken back alone, fails specs of trial_test.go: the round trip taken out of the measured work, the weight of a tested work, the record of refusals, trials for unknown work, further trials to servers that answer without load reports, and the interval that tests of the work do not use up.

Checks: go test -race of gateway, balance, prober, loadshare: pass (once each); make lint: clean.

--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -131,9 +131,9 @@
 	meanSlowdown float64
 	// lastUrgentAt is the time of the last request whose objective is short compared with its work; see Urgent.
 	lastUrgentAt time.Time
-	// lastTrialAt is the time of the last trial request, lastReportAt that of the last load report of any server, and
-	// ownRegionReportAt that of the last one of a server in the region of this VM.
-	lastTrialAt, lastReportAt, ownRegionReportAt time.Time
+	// lastTrialAt is the time of the last trial request, and ownRegionReportAt that of the last load report of a server in the
+	// region of this VM.
+	lastTrialAt, ownRegionReportAt time.Time
 }
 
 // serverState is the state of one backend server as seen by this VM.
@@ -305,7 +305,10 @@
 	}
 	s.report, s.reportedAt = report, at
 	if svc := b.services[s.info.Service]; svc != nil {
-		svc.recordSlowdown(report.Slowdown, s.info.Region == b.self.Region, at)
+		svc.meanSlowdown += (report.Slowdown - svc.meanSlowdown) * meanSlowdownWeight
+		if s.info.Region == b.self.Region && at.After(svc.ownRegionReportAt) {
+			svc.ownRegionReportAt = at
+		}
 	}
 }
 
--- a/pkg/balance/trial.go
+++ b/pkg/balance/trial.go
@@ -11,8 +11,6 @@
 	trialCost = 2_500.0
 	// knownLoadAge is the age up to which a load report counts as knowledge. The slowdown in an older one has lost its weight.
 	knownLoadAge = 500 * time.Millisecond
-	// trialSlowdownWeight is the weight in the mean slowdown of a service of the load report that a trial request brings.
-	trialSlowdownWeight = 0.5
 )
 
 // mayTry reports whether a server may get the request as a trial although its expected response time exceeds the limit. Without
@@ -54,19 +52,3 @@
 	return !svc.loadKnown(now) && s.reportedAt.IsZero() && s.ownInFlight == 0 &&
 		!s.answeredAt.IsZero() && now.Sub(s.answeredAt) <= maxReportAge
 }
-
-// recordSlowdown updates the mean slowdown of a service with a load report. While no reports arrive, the mean is an assumption, which
-// the report that a trial brings corrects soon. ownRegion is true if the server is in the region of this VM.
-func (svc *serviceState) recordSlowdown(slowdown float64, ownRegion bool, at time.Time) {
-	weight := meanSlowdownWeight
-	if svc.lastTrialAt.After(svc.lastReportAt) && at.Sub(svc.lastReportAt) > knownLoadAge {
-		weight = trialSlowdownWeight
-	}
-	svc.meanSlowdown += (slowdown - svc.meanSlowdown) * weight
-	if at.After(svc.lastReportAt) {
-		svc.lastReportAt = at
-	}
-	if ownRegion && at.After(svc.ownRegionReportAt) {
-		svc.ownRegionReportAt = at
-	}
-}
