entryvm: drain in a file of its own; failing spec of a stop without open connections

The steps of a planned stop use an interface of the gateway, so that a spec can play their order. No change of behaviour.

The spec: with no request in flight and no connection left, a VM decides to exit 3 s after the signal without having refused anything. A connection that it accepts before its process is gone is served, and cut off.

--- a/pkg/entryvm/lifecycle.go
+++ b/pkg/entryvm/lifecycle.go
@@ -20,23 +20,6 @@
 	retryBudgetFraction = 0.75
 	// maintenanceInterval is how often the limits that depend on the number of VMs are recalculated.
 	maintenanceInterval = time.Second
-	// exitMargin is the time before the end of the shutdown timeout at which the process exits, even with requests in flight.
-	exitMargin = 400 * time.Millisecond
-	// refusalMargin is the time before the end of the shutdown timeout from which new requests are refused, so that those
-	// accepted before can finish.
-	refusalMargin = 2800 * time.Millisecond
-	// responseMargin is the time between the latest deadline of an accepted request and the exit, in which its response is written.
-	responseMargin = 100 * time.Millisecond
-	// healthCheckDetectionTime is the time within which the platform detects failing health checks.
-	healthCheckDetectionTime = 3 * time.Second
-	// deadlineLimitDelay is the time after the stop signal from which requests are refused whose deadline is not before the exit. It
-	// is a little shorter than healthCheckDetectionTime, so that a request sent after that time is always checked.
-	deadlineLimitDelay = healthCheckDetectionTime - 100*time.Millisecond
-	// quietPeriod is the time without a new connection after which the process may exit: connections that wait in the queue of the
-	// listener would be reset.
-	quietPeriod = 150 * time.Millisecond
-	// drainPollInterval is how often a draining VM checks whether all in-flight requests have finished.
-	drainPollInterval = 20 * time.Millisecond
 	// healthReadTimeout bounds the time to receive a health check request.
 	healthReadTimeout = 5 * time.Second
 )
@@ -129,40 +112,6 @@
 	}
 }
 
-// drain fails the health checks and waits until no request is in flight.
-//   - After deadlineLimitDelay, when further requests arrive on open connections only, those whose deadline is not before the exit
-//     are refused: they could be cut off while a server runs them.
-//   - From refusalMargin before the end of the shutdown timeout all new requests are refused.
-//   - Before refusalMargin, drain returns only after healthCheckDetectionTime and without open connections, and at any time only
-//     after quietPeriod.
-//   - It returns at the latest exitMargin before the end of the timeout.
-func (v *vm) drain() {
-	started := time.Now()
-	klog.InfoS("received stop signal; health checks now fail",
-		"inFlight", v.gateway.InFlight(), "connections", v.gateway.Connections())
-	v.gateway.Drain()
-	exitAfter := v.settings.ShutdownTimeout - exitMargin
-	for limited, refused := false, false; ; time.Sleep(drainPollInterval) {
-		elapsed := time.Since(started)
-		if !limited && elapsed >= deadlineLimitDelay {
-			limited = true
-			v.gateway.RefuseDeadlinesAfter(started.Add(exitAfter - responseMargin))
-			klog.InfoS("refusing requests whose deadline is after the exit", "inFlight", v.gateway.InFlight(),
-				"connections", v.gateway.Connections(), "exitIn", exitAfter-elapsed)
-		}
-		if !refused && elapsed >= v.settings.ShutdownTimeout-refusalMargin {
-			refused = true
-			v.gateway.Refuse()
-			klog.InfoS("refusing new requests", "inFlight", v.gateway.InFlight(), "connections", v.gateway.Connections())
-		}
-		idle := v.gateway.InFlight() == 0 && v.gateway.QuietFor() >= quietPeriod
-		if elapsed >= exitAfter || idle && refused ||
-			idle && elapsed >= healthCheckDetectionTime && v.gateway.Connections() == 0 {
-			return
-		}
-	}
-}
-
 // serveHealth serves health checks, metrics and the burn report until ctx ends.
 func (v *vm) serveHealth(ctx context.Context) error {
 	app := fiber.New(fiber.Config{ReadTimeout: healthReadTimeout})
--- a/pkg/entryvm/vm.go
+++ b/pkg/entryvm/vm.go
@@ -260,7 +260,7 @@
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
-			v.drain()
+			drain(v.gateway, s.ShutdownTimeout)
 			cancel()
 		case <-serving.Done():
 		}
