entryvm: refuse further requests before the exit of a VM without connections

Cause: one of three ways out of the wait ended without the refusal that the others begin with.

Change: a VM that finds no connection left begins to refuse, and then looks once more for requests that came before. A request is counted before it is checked whether requests are refused, so that none is missed.

--- a/pkg/entryvm/drain.go
+++ b/pkg/entryvm/drain.go
@@ -37,10 +37,9 @@
 }
 
 // drain fails the health checks and waits until no request is in flight. After deadlineLimitDelay, when only open connections bring
-// further requests, those whose deadline is not before the exit are refused: they could be cut off while a server runs them. From
-// refusalMargin before the end of the shutdown timeout all new requests are refused. Before that, drain returns only after
-// healthCheckDetectionTime and without open connections, and at any time only after quietPeriod. It returns at the latest exitMargin
-// before the end of the timeout.
+// further requests, those whose deadline is not before the exit are refused: they could be cut off while a server runs them. All new
+// requests are refused from refusalMargin before the end of the shutdown timeout, or after healthCheckDetectionTime once no connection
+// is open. drain returns only after that, and after quietPeriod, or exitMargin before the end of the timeout.
 func drain(g drainable, shutdownTimeout time.Duration) {
 	started := time.Now()
 	klog.InfoS("received stop signal; health checks now fail",
@@ -55,15 +54,18 @@
 			klog.InfoS("refusing requests whose deadline is after the exit", "inFlight", g.InFlight(),
 				"connections", g.Connections(), "exitIn", exitAfter-elapsed)
 		}
-		if !refused && elapsed >= shutdownTimeout-refusalMargin {
+		callersGone := elapsed >= healthCheckDetectionTime && g.Connections() == 0 && idle(g)
+		if !refused && (callersGone || elapsed >= shutdownTimeout-refusalMargin) {
 			refused = true
 			g.Refuse()
 			klog.InfoS("refusing new requests", "inFlight", g.InFlight(), "connections", g.Connections())
 		}
-		idle := g.InFlight() == 0 && g.QuietFor() >= quietPeriod
-		if elapsed >= exitAfter || idle && refused ||
-			idle && elapsed >= healthCheckDetectionTime && g.Connections() == 0 {
+		// A request that came before Refuse is in flight now.
+		if elapsed >= exitAfter || refused && idle(g) {
 			return
 		}
 	}
 }
+
+// idle reports whether no request is in flight and no connection was accepted within quietPeriod.
+func idle(g drainable) bool { return g.InFlight() == 0 && g.QuietFor() >= quietPeriod }
