--- a/pkg/gateway/earlyrefusal_test.go
+++ b/pkg/gateway/earlyrefusal_test.go
@@ -15,11 +15,7 @@
 // startEarlyRefuser starts a server that writes the given number of refusals of its first request before it reads the body of that
 // request, and then reads on. It runs each further request.
 func startEarlyRefuser(refusals int) *backend {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(l.Close)
-	b := &backend{address: l.Addr().String()}
-	serve := func(c net.Conn) {
+	return startRawBackend(func(b *backend, c net.Conn) {
 		defer c.Close()
 		for reader := bufio.NewReader(c); ; {
 			req, err := http.ReadRequest(reader)
@@ -41,17 +37,7 @@
 				respondCorrectly(r, c)
 			}
 		}
-	}
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go serve(c)
-		}
-	}()
-	return b
+	})
 }
 
 var _ = Describe("Gateway with a server that answers before it has read the request", func() {
--- a/pkg/gateway/leaving_test.go
+++ b/pkg/gateway/leaving_test.go
@@ -216,22 +216,9 @@
 // a slot.
 const earlySlots = 50
 
-// startEarlyRefuser starts a backend that refuses each request with status 503 once it has read the head, and reads the body afterwards.
-func startEarlyRefuser(headers ...string) *backend {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(l.Close)
-	b := &backend{address: l.Addr().String()}
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go b.refuseEarly(c, headers)
-		}
-	}()
-	return b
+// startStatingRefuser starts a backend that refuses each request with status 503 once it has read the head, and reads the body afterwards.
+func startStatingRefuser(headers ...string) *backend {
+	return startRawBackend(func(b *backend, c net.Conn) { b.refuseEarly(c, headers) })
 }
 
 func (b *backend) refuseEarly(c net.Conn, headers []string) {
@@ -279,7 +266,7 @@
 	// Guards against uploads that are sent to a server which has refused one early, before it was in, and asked for no requests: while
 	// a caller goes on sending, the response was not read.
 	It("sends it nothing while the body of the refused request is still being received", func() {
-		b := startEarlyRefuser("Not-Run: 1", "Retry-After: 3")
+		b := startStatingRefuser("Not-Run: 1", "Retry-After: 3")
 		f := startGatewayWithSlots(earlySlots, b)
 		beginUpload := func(id string) {
 			c := f.dial()
