tests: the requests of the spec of many responses end with it

The spec 'connections to servers are given back exactly once' compares the number of connections of the process at its start and end. Now the servers of that spec end their connections, and it waits for its requests.

--- a/pkg/gateway/endless_test.go
+++ b/pkg/gateway/endless_test.go
@@ -103,12 +103,20 @@
 			watched  = 1500 * time.Millisecond
 		)
 		piece := []byte(chunk) // shared, so that the servers allocate nothing
-		f := startGatewayWithSlots(requests, startBackend(func(r *receivedRequest, c net.Conn) bool {
+		var f *fixture
+		ended := make(chan struct{})
+		// The requests must not outlast the spec: another one counts the connections of the process.
+		DeferCleanup(func() {
+			close(ended)
+			Eventually(f.InFlight, "5s").Should(BeZero())
+		})
+		f = startGatewayWithSlots(requests, startBackend(func(r *receivedRequest, c net.Conn) bool {
 			_, err := io.WriteString(c, answeredHeadOf(r.Header.Get("Id"))+head)
 			for i := 0; i < pieces && err == nil; i++ {
 				_, err = c.Write(piece)
 			}
-			return err == nil
+			<-ended
+			return false
 		}))
 		runtime.GC()
 		for i := range requests {
