--- a/pkg/balance/availability.go
+++ b/pkg/balance/availability.go
@@ -26,7 +26,7 @@
 	// leaving server usually exits.
 	peerLeavingTTL = 30 * time.Second
 	// otherStartTTL is how long a statement also applies to a start of the server other than the one that was listed when this VM
-	// heard the statement, if that start is not later than the statement. It covers the time in which a leaving server usually exits.
+	// received the statement, if that start is not later than the statement. It covers the time in which a leaving server usually exits.
 	otherStartTTL = 30 * time.Second
 	// clockMargin is the assumed limit of the difference between the clocks of a server and of this VM. A leaving server serves
 	// for seconds before it exits, so that its next start is later by more than that.
@@ -67,14 +67,14 @@
 // availability is what is known of a server from its own responses. It is kept by the id of the server, whether or not the server is
 // listed: a list that is older than the response may contain the server, or an earlier start of it, or miss it for a while.
 type availability struct {
-	// incarnation is the start of the server that this VM knew when it heard the statement, and revision that of its record, which
-	// orders the starts. heardAt is when it first heard that the server is leaving, or that it wants no requests: responses repeat it
-	// until the server exits.
+	// incarnation is the start of the server that this VM knew when it received the statement, and revision that of its record, which
+	// orders the starts. receivedAt is when it first received a statement that the server is leaving, or that it wants no requests:
+	// responses repeat it until the server exits.
 	incarnation, revision int64
-	heardAt               time.Time
+	receivedAt            time.Time
 	leaving               bool
 	// leavingUntil is the end of the time for which the server counts as leaving by a statement that may not be that of this start:
-	// one that a peer VM has heard, or one in the response to a request from before its record arrived.
+	// one that a peer VM has received, or one in the response to a request from before its record arrived.
 	leavingUntil time.Time
 	heldUntil    time.Time
 }
@@ -87,7 +87,7 @@
 
 // appliesTo reports whether the statement is that of a listed start of the server. A statement does not say which start it comes from,
 // and the server may have started again without this VM knowing:
-//   - the start that this VM knew when it heard the statement: yes;
+//   - the start that this VM knew when it received the statement: yes;
 //   - another start, from before the statement: yes for otherStartTTL, or until the end of a hold, as it may be the one that made the
 //     statement;
 //   - a start in the future, or a record without a start time: the same;
@@ -96,14 +96,14 @@
 	if incarnation == a.incarnation && incarnation != 0 {
 		return true
 	}
-	return !a.precedes(incarnation, now) && (now.Sub(a.heardAt) < otherStartTTL || now.Before(a.heldUntil))
+	return !a.precedes(incarnation, now) && (now.Sub(a.receivedAt) < otherStartTTL || now.Before(a.heldUntil))
 }
 
 // precedes reports whether the statement is older than a start of the server. A start in the future is not taken for a later one: the
 // clock of this VM has stepped back, or that of the server is ahead.
 func (a *availability) precedes(incarnation int64, now time.Time) bool {
-	startedAfter := time.UnixMilli(incarnation).Sub(a.heardAt)
-	return startedAfter > clockMargin && startedAfter <= now.Sub(a.heardAt)+clockMargin
+	startedAfter := time.UnixMilli(incarnation).Sub(a.receivedAt)
+	return startedAfter > clockMargin && startedAfter <= now.Sub(a.receivedAt)+clockMargin
 }
 
 // at returns the availability at a time.
@@ -169,7 +169,7 @@
 		a.heldUntil = until
 	}
 	if change.Leaving || change.HeldOff {
-		a.heardAt = now
+		a.receivedAt = now
 	}
 	return change
 }
@@ -246,7 +246,7 @@
 		if len(b.availabilities) >= maxAvailabilities {
 			b.dropAvailabilities(now)
 		}
-		a = &availability{heardAt: now}
+		a = &availability{receivedAt: now}
 		b.availabilities[server.ID] = a
 	}
 	a.incarnation, a.revision = server.Incarnation, server.Revision
@@ -261,7 +261,7 @@
 		return
 	}
 	oldest := slices.MinFunc(slices.Collect(maps.Keys(b.availabilities)), func(x, y string) int {
-		return b.availabilities[x].heardAt.Compare(b.availabilities[y].heardAt)
+		return b.availabilities[x].receivedAt.Compare(b.availabilities[y].receivedAt)
 	})
 	delete(b.availabilities, oldest)
 }
