upstream: read the head of a response while a streamed body is written

Seen by servers: a server that refused an upload early with Retry-After went on receiving uploads. In the spec of pkg/gateway ("sends it nothing while the body of the refused request is still being received") it had received 5 requests where at most 3 are allowed.

Cause: a body of more than 256 KiB, or for which no buffer memory is left, is streamed, and the response was read only after the whole body had been written, however slowly the caller sent it. What the head said about the server was not known before.

Change: for a request with a body stream, a goroutine (headReader, earlyresponse.go) reads the head and calls Attempt.Classify while the body is written. The write goes on as before; after it the attempt joins the goroutine and continues with the head. A failed write either takes the head that has arrived (within 50 ms, as before) or closes the connection; both join. Requests with a buffered body or none are sent as before. The upload does not end early after a refusal: a caller that is still sending could lose the response.

Why it works: until the goroutine has ended, it owns the response and the read buffer, and the writer owns the request and the deadline of the socket, which the goroutine never sets. The timeout for the first byte is set when the write has ended. Error.Written still counts what the kernel has accepted. A surplus response that arrives during the upload, after the head was read, is found by the check of the socket before the next use of the connection.

--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -34,7 +34,9 @@
 	req             *fasthttp.Request
 	resp            *fasthttp.Response
 	bodyIdleTimeout time.Duration
-	stage           Stage
+	// isHead is true for a HEAD request. While a headReader runs, the request header belongs to the writer.
+	isHead bool
+	stage  Stage
 	// responseComplete is set once the whole response was read and the connection may be released.
 	responseComplete bool
 }
@@ -66,7 +68,13 @@
 
 func (x *exchange) sendAndReceive(ctx context.Context) error {
 	x.stage = StageWrite
-	if err := x.write(ctx); err != nil {
+	if err := x.prepareWrite(ctx); err != nil {
+		return err
+	}
+	if x.req.IsBodyStream() {
+		return x.streamAndReceive(ctx)
+	}
+	if err := x.write(); err != nil {
 		return x.readEarlyResponse(ctx, err)
 	}
 	x.stage = StageAwaitResponse
@@ -81,15 +89,17 @@
 	return x.readBody(ctx)
 }
 
-func (x *exchange) write(ctx context.Context) error {
+func (x *exchange) prepareWrite(ctx context.Context) error {
 	if err := x.setDeadline(ctx, x.attempt.Deadline); err != nil {
 		return err
 	}
-	if x.attempt.BeforeWrite != nil {
-		if err := x.attempt.BeforeWrite(); err != nil {
-			return err
-		}
+	if x.attempt.BeforeWrite == nil {
+		return nil
 	}
+	return x.attempt.BeforeWrite()
+}
+
+func (x *exchange) write() error {
 	if err := x.req.Write(x.conn.writer); err != nil {
 		return err
 	}
@@ -103,7 +113,7 @@
 // readEarlyResponse reads the response of a server that rejected a request before reading all of it. It returns writeErr
 // if there is no such response. The connection is not reused.
 func (x *exchange) readEarlyResponse(ctx context.Context, writeErr error) error {
-	if x.conn.bytesWritten == 0 || ctx.Err() != nil || isTimeout(writeErr) || !isNetError(writeErr) {
+	if !x.mayHaveEarlyResponse(ctx, writeErr) {
 		return writeErr
 	}
 	x.conn.noReuse = true
@@ -116,6 +126,11 @@
 	return nil
 }
 
+// mayHaveEarlyResponse reports whether the remote side may have responded before the write failed with writeErr.
+func (x *exchange) mayHaveEarlyResponse(ctx context.Context, writeErr error) bool {
+	return x.conn.bytesWritten > 0 && ctx.Err() == nil && !isTimeout(writeErr) && isNetError(writeErr)
+}
+
 // isNetError reports whether err comes from the connection rather than from the reader of the request body.
 func isNetError(err error) bool {
 	var netErr net.Error
@@ -123,17 +138,31 @@
 }
 
 func (x *exchange) awaitFirstByte(ctx context.Context) error {
+	if err := x.setDeadline(ctx, x.firstByteDeadline()); err != nil {
+		return err
+	}
+	_, err := x.conn.reader.Peek(1)
+	return err
+}
+
+// firstByteDeadline returns the deadline for the first byte of the response to a request that has just been written.
+func (x *exchange) firstByteDeadline() time.Time {
 	deadline := x.attempt.Deadline
 	if t := x.attempt.FirstByteTimeout; t > 0 {
 		if first := time.Now().Add(t); deadline.IsZero() || first.Before(deadline) {
-			deadline = first
+			return first
 		}
 	}
-	if err := x.setDeadline(ctx, deadline); err != nil {
-		return err
+	return deadline
+}
+
+// headDeadline returns the deadline for the head and a small body of a response whose first byte has arrived: that of the attempt,
+// or bodyIdleTimeout from now if there is none.
+func (x *exchange) headDeadline() time.Time {
+	if x.attempt.Deadline.IsZero() {
+		return time.Now().Add(x.bodyIdleTimeout)
 	}
-	_, err := x.conn.reader.Peek(1)
-	return err
+	return x.attempt.Deadline
 }
 
 // setDeadline sets the socket's deadline and then checks the context, because a cancellation may have closed the socket
@@ -147,15 +176,15 @@
 
 func (x *exchange) readHead() error {
 	if !x.conn.noReuse {
-		// The head and a small body must arrive before the attempt's deadline, or within bodyIdleTimeout if there is none.
-		deadline := x.attempt.Deadline
-		if deadline.IsZero() {
-			deadline = time.Now().Add(x.bodyIdleTimeout)
-		}
-		if err := x.conn.SetDeadline(deadline); err != nil {
+		if err := x.conn.SetDeadline(x.headDeadline()); err != nil {
 			return err
 		}
 	}
+	return x.readOwnHead()
+}
+
+// readOwnHead reads the head of the response to the request. It skips responses to other requests and sets no deadline.
+func (x *exchange) readOwnHead() error {
 	x.resetResponse()
 	for discarded := 0; ; {
 		if err := x.readFinalHead(); err != nil {
@@ -187,7 +216,7 @@
 
 func (x *exchange) resetResponse() {
 	x.resp.Reset()
-	x.resp.SkipBody = x.req.Header.IsHead()
+	x.resp.SkipBody = x.isHead
 	x.resp.Header.SetNoDefaultContentType(true)
 }
 
@@ -274,7 +303,7 @@
 // releaseConn returns the connection to the idle connections, or closes it if it cannot be reused after this response.
 func (x *exchange) releaseConn() {
 	// A late copy of the response to a HEAD request states a length but has no body, so that its end could not be told.
-	if x.conn.noReuse || x.req.Header.IsHead() || x.resp.Header.ConnectionClose() || x.resp.Header.ContentLength() == identityBody {
+	if x.conn.noReuse || x.isHead || x.resp.Header.ConnectionClose() || x.resp.Header.ContentLength() == identityBody {
 		x.conn.host.discard(x.conn)
 		return
 	}
--- a/pkg/upstream/transport.go
+++ b/pkg/upstream/transport.go
@@ -96,7 +96,9 @@
 	// it was refused: a late copy of the refusal would name it, too. Without an id, a connection is not reused after a refusal.
 	// Classify recognizes a refusal.
 	RequestID string
-	// Classify returns how a response relates to the request. Nil: every response is accepted.
+	// Classify returns how a response relates to the request. Nil: every response is accepted. It is called as soon as the head of
+	// a response has arrived, for a request with a body stream on another goroutine while the body is still being written. It has
+	// returned before RoundTrip returns.
 	Classify func(h *fasthttp.ResponseHeader) Verdict
 }
 
@@ -134,7 +136,7 @@
 	if err != nil {
 		return &Error{Address: a.Address, Stage: StageConnect, Timeout: isTimeout(err), Cancelled: ctx.Err() != nil, Cause: err}
 	}
-	x := exchange{conn: c, attempt: a, req: req, resp: resp, bodyIdleTimeout: t.opts.BodyIdleTimeout}
+	x := exchange{conn: c, attempt: a, req: req, resp: resp, bodyIdleTimeout: t.opts.BodyIdleTimeout, isHead: req.Header.IsHead()}
 	if err := x.run(ctx); err != nil {
 		c.host.discard(c)
 		return err
