--- a/cmd/hornbeamway/main.go
+++ b/cmd/hornbeamway/main.go
@@ -81,7 +81,8 @@
 	return ctx
 }
 
-// ignoreHangup keeps SIGHUP, which requests a reload, from ending the process before the entry VM handles it and after it has stopped.
+// ignoreHangup prevents SIGHUP, which requests a reload of the settings, from terminating the process before the entry VM has installed
+// its handler and after the entry VM has removed it.
 func ignoreHangup() {
 	signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP)
 }
--- a/pkg/balance/availability.go
+++ b/pkg/balance/availability.go
@@ -67,25 +67,25 @@
 // availability is what is known of a server from its own responses. It is kept by the id of the server, whether or not the server is
 // listed: a list that is older than the response may contain the server, or an earlier start of it, or miss it for a while.
 type availability struct {
-	// incarnation is the start of the server that this VM knew when it received the statement, and revision that of its record, which
-	// orders the starts. receivedAt is when it first received a statement that the server is leaving, or that it wants no requests:
-	// responses repeat it until the server exits.
+	// incarnation identifies the start of the server that this VM knew when it received the statement. revision is the revision of the
+	// directory record of that start; a later start has a higher one. receivedAt is when this VM first received a statement that the
+	// server is leaving, or that it wants no requests: responses repeat it until the server exits.
 	incarnation, revision int64
 	receivedAt            time.Time
 	leaving               bool
-	// leavingUntil is the end of the time for which the server counts as leaving by a statement that may not be that of this start:
-	// one that a peer VM has received, or one in the response to a request from before its record arrived.
+	// leavingUntil is the end of the time for which the server counts as leaving because of a statement that an earlier start may have
+	// made: one that a peer VM has received, or one in the response to a request that was sent before the record of this start arrived.
 	leavingUntil time.Time
 	heldUntil    time.Time
 }
 
-// supersedes reports whether the statement is that of a later start than the one in a record of the server. A record without a
+// supersedes reports whether the statement belongs to a later start than a directory record of the server. A record without a
 // revision, from a VM of an earlier version, counts as the latest.
 func (a *availability) supersedes(server *directory.Server) bool {
 	return server.Incarnation != a.incarnation && server.Revision != 0 && server.Revision < a.revision
 }
 
-// appliesTo reports whether the statement is that of a listed start of the server. A statement does not say which start it comes from,
+// appliesTo reports whether the statement applies to a listed start of the server. A statement does not say which start it comes from,
 // and the server may have started again without this VM knowing:
 //   - the start that this VM knew when it received the statement: yes;
 //   - another start, from before the statement: yes for otherStartTTL, or until the end of a hold, as it may be the one that made the
@@ -99,8 +99,8 @@
 	return !a.precedes(incarnation, now) && (now.Sub(a.receivedAt) < otherStartTTL || now.Before(a.heldUntil))
 }
 
-// precedes reports whether the statement is older than a start of the server. A start in the future is not taken for a later one: the
-// clock of this VM has stepped back, or that of the server is ahead.
+// precedes reports whether the statement is older than a start of the server. A start in the future does not count as a later one: the
+// clock of this VM has been set back, or that of the server is ahead.
 func (a *availability) precedes(incarnation int64, now time.Time) bool {
 	startedAfter := time.UnixMilli(incarnation).Sub(a.receivedAt)
 	return startedAfter > clockMargin && startedAfter <= now.Sub(a.receivedAt)+clockMargin
--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -42,8 +42,8 @@
 // Request describes a request for which a server is selected.
 type Request struct {
 	Service string
-	// Work is the time that a server usually works on such a request. WorkUnknown is true if requests were
-	// refused for it and no response has confirmed it since.
+	// Work is the time that a server usually works on such a request. WorkUnknown is true if requests were refused because of this
+	// estimate and no response has confirmed it since.
 	Work        time.Duration
 	WorkUnknown bool
 	// Objective is the target latency, within which a response has its full value.
@@ -73,9 +73,10 @@
 	Expected time.Duration
 	// WithinLimits is true if the server is within the limits of the request.
 	WithinLimits bool
-	// Trial is true if the server is outside the limits by an assumption only, and may get the request so that the VM learns.
+	// Trial is true if the server is outside the limits only because of an assumption about its load or the work, and may get the
+	// request so that its response corrects that assumption.
 	Trial bool
-	// RoundTrip is the part of Expected that the network takes.
+	// RoundTrip is the assumed network round-trip time, which is part of Expected.
 	RoundTrip time.Duration
 	// InFlight is the number of in-flight requests on the server, without this one.
 	InFlight int
@@ -153,8 +154,8 @@
 	fullUntil, unreachableUntil time.Time
 	unreachableCount            int
 	misdirected                 bool
-	// answeredAt is the time of the last response; zero if the server had no capacity since.
-	answeredAt time.Time
+	// succeededAt is the time of the last outcome Success; zero if there is none or an outcome Full came after it.
+	succeededAt time.Time
 }
 
 // New returns the balancer of a VM at the location self. The seed determines how ties between servers are broken.
@@ -215,7 +216,7 @@
 	c = Choice{Server: best.info, Key: best.key, InFlight: best.totalInFlight, Slowdown: slowdown, ReportAge: -1,
 		WithinLimits: b.withinLimits(best, r, expected), Expected: duration(expected.millis), RoundTrip: duration(b.roundTrip(best))}
 	c.Trial = !c.WithinLimits && b.mayTry(svc, best, r, now)
-	if c.Trial && svc.trialDue(now) && !b.answersTrials(svc, best, now) {
+	if c.Trial && svc.trialDue(now) && !b.mayTryAgain(svc, best, now) {
 		svc.lastTrialAt = now
 	}
 	if !best.reportedAt.IsZero() {
--- a/pkg/balance/cost.go
+++ b/pkg/balance/cost.go
@@ -147,7 +147,7 @@
 	return expectation{millis: total + b.roundTrip(s), queued: queued > 0}
 }
 
-// roundTrip returns the assumed round-trip time to a server in ms.
+// roundTrip returns the assumed network round-trip time to a server in ms.
 func (b *Balancer) roundTrip(s *serverState) float64 {
 	switch {
 	case s.info.Region != b.self.Region:
@@ -189,7 +189,7 @@
 func (s *serverState) recordOutcome(o Outcome, now time.Time) {
 	switch o {
 	case Full:
-		s.fullUntil, s.answeredAt = now.Add(fullBackoff), time.Time{}
+		s.fullUntil, s.succeededAt = now.Add(fullBackoff), time.Time{}
 		return
 	case Misdirected:
 		s.misdirected = true
@@ -204,7 +204,7 @@
 		s.unreachableCount++
 		s.unreachableUntil = now.Add(backoff)
 	case Success:
-		s.unreachableCount, s.unreachableUntil, s.answeredAt = 0, time.Time{}, now
+		s.unreachableCount, s.unreachableUntil, s.succeededAt = 0, time.Time{}, now
 	}
 	failed := 1.0
 	if o == Success {
@@ -214,6 +214,8 @@
 	s.failureRate, s.failureRateAt = rate+(failed-rate)*failureRateWeight, now
 }
 
+// ms converts a duration to milliseconds.
 func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
+// duration converts milliseconds to a duration.
 func duration(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
--- a/pkg/balance/trial.go
+++ b/pkg/balance/trial.go
@@ -3,19 +3,21 @@
 import "time"
 
 const (
-	// trialInterval is the interval at which a VM sends trial requests to servers of unknown load of a service, and spareTrialInterval
-	// that while it knows the load of those in its region, which are used first.
-	trialInterval      = 200 * time.Millisecond
-	spareTrialInterval = 10 * time.Second
-	// trialCost, in ms, makes a server that may get a trial request the choice after the servers within the limits of the request.
+	// trialInterval is the interval at which a VM sends trial requests to servers of a service whose load is unknown.
+	// knownLoadTrialInterval replaces it while the VM knows the load of the servers in its region, which are used first.
+	trialInterval          = 200 * time.Millisecond
+	knownLoadTrialInterval = 10 * time.Second
+	// trialCost is the additional cost, in ms, of a server that may get a trial request. It ranks the server after those within the
+	// limits of the request and before those outside them, which have outsideLimitsCost.
 	trialCost = 2_500.0
-	// knownLoadAge is the age up to which a load report counts as knowledge. The slowdown in an older one has lost its weight.
+	// knownLoadAge is the age of the last load report up to which a load counts as known. The slowdown in an older report has lost its
+	// weight.
 	knownLoadAge = 500 * time.Millisecond
 )
 
 // mayTry reports whether a server may get the request as a trial although its expected response time exceeds the limit. Without
-// trials an expectation that rests on an assumption would never be corrected: nothing is sent, so that no response arrives. The
-// limits that rest on knowledge apply to a trial, too: the counted requests have to leave the free slots that the request needs.
+// trials an expectation that depends on an assumption would never be corrected: nothing is sent, so that no response arrives. The
+// other limits apply to a trial, too: the region, and the free slots that the counted requests have to leave.
 func (b *Balancer) mayTry(svc *serviceState, s *serverState, r Request, now time.Time) bool {
 	if len(r.Exclude) > 0 || now.Before(s.fullUntil) || now.Before(s.unreachableUntil) {
 		return false
@@ -24,14 +26,14 @@
 	if !b.regionAllowed(s, r) || !s.hasFreeSlots(r) {
 		return false
 	}
-	return r.WorkUnknown || !s.loadKnown(now) && (svc.trialDue(now) || b.answersTrials(svc, s, now))
+	return r.WorkUnknown || !s.loadKnown(now) && (svc.trialDue(now) || b.mayTryAgain(svc, s, now))
 }
 
 // trialDue reports whether the interval since the last trial request to a server of unknown load has passed.
 func (svc *serviceState) trialDue(now time.Time) bool {
 	interval := trialInterval
 	if svc.loadKnown(now) {
-		interval = spareTrialInterval
+		interval = knownLoadTrialInterval
 	}
 	return now.Sub(svc.lastTrialAt) >= interval
 }
@@ -47,8 +49,9 @@
 	return !s.reportedAt.IsZero() && now.Sub(s.reportedAt) <= knownLoadAge
 }
 
-// answersTrials reports whether a server of a service of unknown load has just answered and has no request of this VM.
-func (b *Balancer) answersTrials(svc *serviceState, s *serverState, now time.Time) bool {
+// mayTryAgain reports whether a server may get another trial request before the trial interval has passed: the load of its service is
+// unknown, it has sent no load report, its last success is at most maxReportAge ago, and no request of this VM is in flight on it.
+func (b *Balancer) mayTryAgain(svc *serviceState, s *serverState, now time.Time) bool {
 	return !svc.loadKnown(now) && s.reportedAt.IsZero() && s.ownInFlight == 0 &&
-		!s.answeredAt.IsZero() && now.Sub(s.answeredAt) <= maxReportAge
+		!s.succeededAt.IsZero() && now.Sub(s.succeededAt) <= maxReportAge
 }
--- a/pkg/bodybuffer/bodybuffer.go
+++ b/pkg/bodybuffer/bodybuffer.go
@@ -35,6 +35,7 @@
 	return false
 }
 
+// release gives the given number of bytes back to the budget.
 func (b *Budget) release(size int) { b.used.Add(-int64(size)) }
 
 // NewBuffer returns an empty buffer with one holder.
@@ -112,6 +113,7 @@
 // Reader returns a reader of the content whose Close releases the buffer.
 func (b *Buffer) Reader() io.ReadCloser { return &reader{Reader: *bytes.NewReader(b.data), buffer: b} }
 
+// reader reads the content of a buffer. Its first Close releases the buffer.
 type reader struct {
 	bytes.Reader
 	buffer *Buffer
--- a/pkg/entryvm/drain.go
+++ b/pkg/entryvm/drain.go
@@ -39,7 +39,8 @@
 // drain fails the health checks and waits until no request is in flight. After deadlineLimitDelay, when only open connections bring
 // further requests, those whose deadline is not before the exit are refused: they could be cut off while a server runs them. All new
 // requests are refused from refusalMargin before the end of the shutdown timeout, or after healthCheckDetectionTime once no connection
-// is open. drain returns only after that, and after quietPeriod, or exitMargin before the end of the timeout.
+// is open and the gateway is idle. drain returns once new requests are refused and the gateway is idle, at the latest exitMargin
+// before the end of the timeout.
 func drain(g drainable, shutdownTimeout time.Duration) {
 	started := time.Now()
 	klog.InfoS("received stop signal; health checks now fail",
@@ -60,7 +61,7 @@
 			g.Refuse()
 			klog.InfoS("refusing new requests", "inFlight", g.InFlight(), "connections", g.Connections())
 		}
-		// A request that came before Refuse is in flight now.
+		// The gateway is checked again after Refuse: a request that arrived before it is counted as in flight.
 		if elapsed >= exitAfter || refused && idle(g) {
 			return
 		}
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -29,7 +29,7 @@
 	deadline time.Time
 	stream   *ingress.BodyStream
 	req      *fasthttp.Request
-	// body holds the memory of the request body; the attempt releases it.
+	// body is the buffer to which the body of req refers. The attempt is one of its holders and releases it when it ends.
 	body *bodybuffer.Buffer
 	resp *fasthttp.Response
 	// final is true if no further attempt is allowed.
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -41,7 +41,7 @@
 	priorWait time.Duration
 	// deadline is the end of the caller's wait or of the route's timeout, whichever is earlier.
 	deadline time.Time
-	// body is the complete body if stream is nil, and otherwise the part of it that was read before it became a stream.
+	// body is the complete body if stream is nil, and otherwise the beginning that stream returns first.
 	body   *bodybuffer.Buffer
 	stream *ingress.BodyStream
 	// sentTo lists the servers of all attempts. mayHaveRun is true if one of them may have run it.
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -47,6 +47,7 @@
 	closeExpiredInterval = time.Second
 )
 
+// The numbers of times that a buffer found no memory left in the budget.
 var (
 	requestsNotBuffered  = metrics.NewCounter(`hornbeamway_gateway_bodies_not_buffered_total{message="request"}`)
 	responsesNotBuffered = metrics.NewCounter(`hornbeamway_gateway_bodies_not_buffered_total{message="response"}`)
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -79,6 +79,7 @@
 				continue
 			}
 			if !g.mayRetry(ctx, c, r) {
+				// Nothing more is sent. If all servers have asked for no requests, HeldOff is the time until the first hold ends.
 				choice, _ := g.chooseServer(c)
 				return withMinRetryAfter(r.err, choice.HeldOff)
 			}
--- a/pkg/gateway/worktime.go
+++ b/pkg/gateway/worktime.go
@@ -20,11 +20,13 @@
 	initialBulkResponseBytes = 90_000
 	// sampleWeight is the weight of one response in the moving averages.
 	sampleWeight = 0.05
-	// trialSampleWeight is the weight of the response to a request that tests an estimate of the work.
+	// trialSampleWeight is the weight of the first response after a trial request was sent because the work is unknown.
 	trialSampleWeight = 0.5
-	// workTestInterval is the time in which a route had refusals and no response, after which a request tests its work.
+	// workTestInterval is the time after the first refusal of a route, without a response since, from which its work counts as unknown,
+	// so that a trial request may be sent. It is also the least time between two such requests.
 	workTestInterval = time.Second
-	// minWorkShare is the share of a response time that at least counts as work, because the round-trip time is assumed.
+	// minWorkShare is the least share of a response time that counts as work, because the round-trip time that is subtracted is an
+	// assumption.
 	minWorkShare = 0.5
 	// longestWaitWeight is the weight with which a shorter wait lowers the longest wait of a route's callers. A wait of at least
 	// firstTryWaitShare of the longest one counts as that of a first try, because callers of one route differ in their waits.
@@ -44,8 +46,8 @@
 	work          float64 // time at a slowdown of 1, in nanoseconds
 	responseBytes float64
 	longestWait   float64 // longest recent wait of a caller, in nanoseconds
-	// refusedSince is the time of the first refusal since the last response or test of the work; zero if there is none. testing is
-	// true until the response to the request that tests it.
+	// refusedSince is the time of the first refusal since the last response, or of the last trial request for unknown work if that is
+	// later; zero if there is neither. testing is true from that trial request until the next response of the route.
 	refusedSince time.Time
 	testing      bool
 }
@@ -74,19 +76,20 @@
 	return time.Duration(e.get(r).work)
 }
 
-// workUnknown reports whether the work of a route is an assumption for which requests are refused, so that no response confirms it.
+// workUnknown reports whether requests of a route have been refused without a response for so long that its estimated work counts
+// as unknown: while all requests are refused, no response confirms the estimate.
 func (e *routeEstimates) workUnknown(r *routing.Route) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return e.get(r).unknown(e.clock.Now())
 }
 
-// unknown is workUnknown for one route, at the time now.
+// unknown reports whether the work of the route counts as unknown at the time now.
 func (estimate *routeEstimate) unknown(now time.Time) bool {
 	return !estimate.refusedSince.IsZero() && now.Sub(estimate.refusedSince) >= workTestInterval
 }
 
-// recordRefusal records that a request of a route is refused because no server is expected to answer it in time.
+// recordRefusal records that a request of a route is refused, or waits, because no server is within its limits.
 func (e *routeEstimates) recordRefusal(r *routing.Route) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/pkg/jsonlist/jsonlist.go
+++ b/pkg/jsonlist/jsonlist.go
@@ -1,5 +1,6 @@
-// Package jsonlist decodes JSON arrays of other processes. Elements take more memory decoded than as text: "{}," is 3 bytes and the
-// struct that it decodes to may have hundreds.
+// Package jsonlist decodes JSON arrays from other processes and limits the number of their elements. A limit on the size of the text
+// is not enough, because elements take more memory decoded than as text: "{}," is 3 bytes and the struct that it decodes to may have
+// hundreds.
 package jsonlist
 
 import (
--- a/pkg/loadshare/contacts.go
+++ b/pkg/loadshare/contacts.go
@@ -66,7 +66,8 @@
 }
 
 // nearestContacts returns up to maxReplyContacts live peers for a reply to p: those of its data centre first, then those of its
-// region, then all others, and among them those with the largest capacity first, which have duties.
+// region, then all others, and within each group those with the largest capacity first, because they are
+// ranked first for duties.
 func (s *Sharer) nearestContacts(p *peer, now time.Time) []contact {
 	var contacts []contact
 	for _, include := range []func(*peer) bool{
@@ -85,6 +86,7 @@
 	return contacts
 }
 
+// contact returns the peer as a contact for other VMs.
 func (p *peer) contact(now time.Time) contact {
 	return contact{address: p.address.String(), dataCentre: p.dataCentre, capacity: p.capacity,
 		age: now.Sub(p.lastSeen()).Truncate(time.Millisecond)}
--- a/pkg/loadshare/targets.go
+++ b/pkg/loadshare/targets.go
@@ -16,8 +16,8 @@
 	contactsPerRound  = 2
 	contactRounds     = 5
 	otherRegionRounds = 50
-	// greetingPeriod is how long a newly added address gets every heartbeat before a datagram from its VM has arrived.
-	greetingPeriod = time.Second
+	// newAddressPeriod is the time for which a newly added address gets every heartbeat although no datagram from its VM has arrived.
+	newAddressPeriod = time.Second
 )
 
 // heartbeatTargets returns the VMs that get a heartbeat in a round, without the aggregator to which this VM subscribes.
@@ -36,7 +36,7 @@
 			otherRegions = append(otherRegions, address)
 		case p.region == s.Region && s.aggregated:
 			byDataCentre[p.dataCentre] = append(byDataCentre[p.dataCentre], address)
-		case p.live || round%unreachablePeerRounds == 0 || now.Sub(p.addedAt) < greetingPeriod:
+		case p.live || round%unreachablePeerRounds == 0 || now.Sub(p.addedAt) < newAddressPeriod:
 			targets = append(targets, address)
 		}
 	}
--- a/pkg/proxy/attempt.go
+++ b/pkg/proxy/attempt.go
@@ -81,7 +81,8 @@
 // reportsNotRun reports whether the backend server states that it did not run the call.
 func reportsNotRun(h *fasthttp.ResponseHeader) bool { return len(h.Peek(headerNotRun)) > 0 }
 
-// refusalVerdict tells the transport which responses are refusals. All are responses to the call, because they name none.
+// refusalVerdict classifies a response for the transport. It never reports a response to another call, because the responses of backend
+// servers do not state the id of their call.
 func refusalVerdict(h *fasthttp.ResponseHeader) upstream.Verdict {
 	if reportsNotRun(h) {
 		return upstream.Refused
--- a/pkg/proxy/operation.go
+++ b/pkg/proxy/operation.go
@@ -84,7 +84,8 @@
 	body, complete, err := bufferBody(resp)
 	if err != nil {
 		p.Operations.MarkUnknown(entry)
-		return problem.New(fasthttp.StatusBadGateway, problem.Unknown, problem.ReasonUpstream, "the response of the backend server was cut short")
+		return problem.New(fasthttp.StatusBadGateway, problem.Unknown, problem.ReasonUpstream,
+			"the response of the backend server was cut short")
 	}
 	stored := operation.Response{Status: resp.StatusCode(), Body: body, Truncated: !complete}
 	for name, value := range resp.Header.All() {
--- a/pkg/upstream/earlyresponse.go
+++ b/pkg/upstream/earlyresponse.go
@@ -17,6 +17,7 @@
 	err error
 }
 
+// startHeadReader starts a headReader for the response of the exchange.
 func (x *exchange) startHeadReader() *headReader {
 	r := &headReader{firstByte: make(chan struct{}), done: make(chan struct{})}
 	go func() {
@@ -26,12 +27,13 @@
 	return r
 }
 
+// read waits for the first byte of the response and reads the head.
 func (r *headReader) read(x *exchange) error {
 	if _, err := x.conn.reader.Peek(1); err != nil {
 		return err
 	}
 	close(r.firstByte)
-	return x.readOwnHead()
+	return x.readMatchingHead()
 }
 
 // stop closes the connection, which ends a pending read, and waits until the goroutine has ended.
--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -34,7 +34,8 @@
 	req             *fasthttp.Request
 	resp            *fasthttp.Response
 	bodyIdleTimeout time.Duration
-	// isHead is true for a HEAD request. While a headReader runs, the request header belongs to the writer.
+	// isHead is true for a HEAD request. It is stored here because a headReader must not read the request header, which the writer
+	// uses at the same time.
 	isHead bool
 	stage  Stage
 	// responseComplete is set once the whole response was read and the connection may be released.
@@ -89,6 +90,7 @@
 	return x.readBody(ctx)
 }
 
+// prepareWrite sets the deadline of the attempt and calls BeforeWrite.
 func (x *exchange) prepareWrite(ctx context.Context) error {
 	if err := x.setDeadline(ctx, x.attempt.Deadline); err != nil {
 		return err
@@ -126,7 +128,8 @@
 	return nil
 }
 
-// mayHaveEarlyResponse reports whether the remote side may have responded before the write failed with writeErr.
+// mayHaveEarlyResponse reports whether the remote side may have responded before the write failed with writeErr: the connection failed
+// after bytes were written, rather than the reader of the request body, and neither a deadline nor a cancellation ended the write.
 func (x *exchange) mayHaveEarlyResponse(ctx context.Context, writeErr error) bool {
 	return x.conn.bytesWritten > 0 && ctx.Err() == nil && !isTimeout(writeErr) && isNetError(writeErr)
 }
@@ -180,11 +183,11 @@
 			return err
 		}
 	}
-	return x.readOwnHead()
+	return x.readMatchingHead()
 }
 
-// readOwnHead reads the head of the response to the request. It skips responses to other requests and sets no deadline.
-func (x *exchange) readOwnHead() error {
+// readMatchingHead reads the head of the response to the request. It skips responses to other requests and sets no deadline.
+func (x *exchange) readMatchingHead() error {
 	x.resetResponse()
 	for discarded := 0; ; {
 		if err := x.readFinalHead(); err != nil {
