--- a/pkg/balance/availability.go
+++ b/pkg/balance/availability.go
@@ -152,7 +152,8 @@
 }
 
 // RecordStatement applies what a response of a server says about its availability, whatever the store or peer VMs say. That it is
-// leaving remains in force until it starts again; a hold ends with its time, or when the server starts again.
+// leaving remains in force until it starts again; a hold ends with its time, or when the server starts again. A hold in the response to a
+// request from before the listed start also applies, because that start may have sent it.
 func (b *Balancer) RecordStatement(server *directory.Server, s Statement, now time.Time) (change StatementChange) {
 	if s == (Statement{}) {
 		return change
