upstream: check the status line of every response before it is used

Callers got a response with status 000 as a success, with the server's signature and the status 200.

Cause: fasthttp parses 000 into the zero value of its status, which it reads as 200. A status from 001 to 099 counted as an interim response, so that what followed it, its body, was read as the head of the final one. 600 to 999, versions such as HTTP/2.0 and control bytes in the reason were relayed as they came. Only the codec looked at the status line, and each reader believed the result.

Change: readResponseHead checks each head, interim ones too, once it is in the read buffer and before fasthttp parses it or Classify sees it. Transport is the only reader of responses of backend servers, of the store and of other VMs' forward addresses, so that first attempts, hedges, retries, uploads, probes, the store's client and both forms share it. A malformed response is a transport error of a request that was written: 502 with an unknown outcome for an order, another server for an idempotent request. Its "not run" or "leaving" is not believed. The metric hornbeamway_upstream_malformed_responses_total counts them.

--- a/pkg/prober/prober_test.go
+++ b/pkg/prober/prober_test.go
@@ -214,6 +214,16 @@
 		}, "300ms").Should(Equal(balance.Available))
 	})
 
+	// Guards against load reports and statements in a response that is not HTTP.
+	It("believes nothing of a malformed response", func() {
+		copiedRefusal = "HTTP/1.1 000 X\r\nContent-Length: 0\r\nServer-Id: a\r\nSlowness: 5\r\nLeaving: 1\r\n\r\n"
+		startProber("a", true)
+		balancer.Pick(urgentRequest, time.Now())
+		Eventually(probes.Load).Should(BeNumerically(">=", 1))
+		Consistently(shared, "300ms").ShouldNot(Receive())
+		Expect(balancer.Availability(server, time.Now())).To(Equal(balance.Available))
+	})
+
 	// Guards against probing for requests that meet their objective even on a slow server.
 	It("does not probe the servers of a service whose objectives are long for its work", func() {
 		startProber("a", true)
--- /dev/null
+++ b/pkg/proxy/malformed_test.go
@@ -0,0 +1,52 @@
+package proxy_test
+
+import (
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hornbeamway/hornbeamway/internal/testsupport"
+	"github.com/hornbeamway/hornbeamway/pkg/problem"
+	"github.com/hornbeamway/hornbeamway/pkg/proxy"
+)
+
+// malformedResponses returns table entries with responses that are not HTTP/1.1.
+func malformedResponses() []TableEntry {
+	const end = "Content-Length: 2\r\n\r\nno"
+	return []TableEntry{
+		Entry("status 000", "HTTP/1.1 000 OK\r\n"+end),
+		Entry("status 000 that states a refusal", "HTTP/1.1 000 OK\r\nHornbeamway-Not-Run: 1\r\n"+end),
+		Entry("status below 100", "HTTP/1.1 099 OK\r\n\r\nHTTP/1.1 200 OK\r\n"+end),
+		Entry("status above 599", "HTTP/1.1 600 OK\r\n"+end),
+		Entry("another version", "HTTP/2.0 200 OK\r\n"+end),
+	}
+}
+
+var _ = Describe("malformed responses", func() {
+	// Guards against a malformed response of a server that reaches the caller, and against an operation that runs twice, or is reported
+	// as not run, because a malformed response states that it was refused.
+	DescribeTable("of servers are never relayed or believed", func(response string) {
+		malformed, healthy := testsupport.StartRawServer(GinkgoTB(), response), startBackend(respondWith(200))
+		for i, v := range localAndForwarding(malformed.Address, healthy) {
+			Expect(doRequest("GET", v.url("/view"), "").StatusCode).To(Equal(200))
+			p := readProblem(doRequest("POST", v.url("/orders"), "", "Idempotency-Key", strings.Repeat("k", i+1)))
+			Expect(p.Status).To(Equal(502))
+			Expect(p.Outcome).To(Equal(problem.Unknown))
+			Expect(malformed.Requests.Load()).To(BeEquivalentTo(2 * (i + 1)))
+		}
+	}, malformedResponses())
+
+	// Guards against a malformed response of another entry VM that reaches the caller.
+	DescribeTable("of other entry VMs are never relayed", func(response string) {
+		dispatcher := testsupport.StartRawServer(GinkgoTB(), response)
+		v := newVM(GinkgoTB(), "e1", nil, func(o *proxy.Options) {
+			o.Placement = &fakePlacement{targets: []proxy.Target{{Pool: testPool, DispatcherID: "e2", ForwardAddress: dispatcher.Address}}}
+		})
+		for _, request := range [][2]string{{"GET", "/view"}, {"POST", "/orders"}} {
+			p := readProblem(doRequest(request[0], v.url(request[1]), "", "Idempotency-Key", "k"))
+			Expect(p.Status).To(Equal(502))
+			Expect(p.Outcome).To(Equal(problem.Unknown))
+		}
+	}, malformedResponses())
+})
--- a/pkg/upstream/earlyresponse.go
+++ b/pkg/upstream/earlyresponse.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // headReader reads the head of a response on a goroutine of its own while the request body is being written. The writer may wait for
@@ -97,6 +99,9 @@
 	}
 	<-head.done
 	x.conn.noReuse = true
+	if errors.Is(head.err, ErrMalformedResponse) {
+		return head.err
+	}
 	if head.err != nil || x.readBody(ctx) != nil {
 		return writeErr
 	}
--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -252,7 +252,7 @@
 // readFinalHead reads response heads up to the first that is not an interim (1xx) one.
 func (x *exchange) readFinalHead() error {
 	for range maxInterimResponses {
-		if err := x.resp.Header.Read(x.conn.reader); err != nil {
+		if err := readResponseHead(x.conn.reader, &x.resp.Header); err != nil {
 			return err
 		}
 		switch status := x.resp.StatusCode(); {
--- /dev/null
+++ b/pkg/upstream/malformed_test.go
@@ -0,0 +1,95 @@
+package upstream_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/valyala/fasthttp"
+
+	"github.com/hornbeamway/hornbeamway/pkg/upstream"
+)
+
+var _ = Describe("Transport with a server whose response has a malformed head", func() {
+	const length = "Content-Length: 2\r\n"
+	var (
+		transport  *upstream.Transport
+		resp       *fasthttp.Response
+		classified int
+	)
+	BeforeEach(func() {
+		transport, resp, classified = upstream.NewTransport(upstream.Options{}), &fasthttp.Response{}, 0
+	})
+	// receive sends a request to a server that responds with the given bytes, one after the other if dripped, and closes the
+	// connection.
+	receive := func(response string, dripped bool) error {
+		s := serve(func(_ int, _ string, c net.Conn) bool {
+			if !dripped {
+				_, _ = io.WriteString(c, response)
+				return false
+			}
+			for _, b := range []byte(response) {
+				_, _ = c.Write([]byte{b})
+			}
+			return false
+		})
+		err := transport.RoundTrip(context.Background(), upstream.Attempt{Address: s.address, Deadline: time.Now().Add(5 * time.Second),
+			Classify: func(*fasthttp.ResponseHeader) upstream.Verdict {
+				classified++
+				return upstream.Accepted
+			}}, request("GET", "/"), resp)
+		if err != nil {
+			Expect(transport.OpenConnections(s.address)).To(BeZero())
+		}
+		return err
+	}
+
+	// Guards against a response that is relayed, or whose headers are used, although it is not one of HTTP/1.1.
+	DescribeTable("reports it and uses nothing of it", func(head string) {
+		for _, dripped := range []bool{false, true} {
+			e := attemptError(receive(head+"\r\nok", dripped))
+			Expect(e).To(MatchError(upstream.ErrMalformedResponse))
+			Expect(e.Written).To(BeTrue())
+			Expect(e.Stage).To(Equal(upstream.StageRead))
+			Expect(classified).To(BeZero())
+		}
+	},
+		Entry("status 000", "HTTP/1.1 000 OK\r\n"+length),
+		Entry("status below 100", "HTTP/1.1 099 OK\r\n"+length),
+		Entry("status above 599", "HTTP/1.1 600 OK\r\n"+length),
+		Entry("status of two digits", "HTTP/1.1 20 OK\r\n"+length),
+		Entry("status of four digits", "HTTP/1.1 2000 OK\r\n"+length),
+		Entry("signed status", "HTTP/1.1 +20 OK\r\n"+length),
+		Entry("no status", "HTTP/1.1\r\n"+length),
+		Entry("two spaces before the status", "HTTP/1.1  200 OK\r\n"+length),
+		Entry("control byte in the reason", "HTTP/1.1 200 O\x00K\r\n"+length),
+		Entry("carriage return in the reason", "HTTP/1.1 200 O\rK\r\n"+length),
+		Entry("later version", "HTTP/2.0 200 OK\r\n"+length),
+		Entry("earlier version", "HTTP/0.9 200 OK\r\n"+length),
+		Entry("lower-case version", "http/1.1 200 OK\r\n"+length),
+		Entry("empty line before the status line", "\r\nHTTP/1.1 200 OK\r\n"+length),
+		Entry("status 000 after an interim response", "HTTP/1.1 103 Hints\r\n\r\nHTTP/1.1 000 OK\r\n"+length),
+		Entry("larger than the read buffer", "HTTP/1.1 200 OK\r\nX-Large: "+strings.Repeat("x", 16<<10)+"\r\n"+length),
+	)
+
+	// Guards against valid responses that are rejected.
+	DescribeTable("accepts a valid one", func(head string, status int) {
+		for _, dripped := range []bool{false, true} {
+			Expect(receive(head+length+"\r\nok", dripped)).To(Succeed())
+			Expect(resp.StatusCode()).To(Equal(status))
+			Expect(string(resp.Body())).To(Equal("ok"))
+		}
+	},
+		Entry("lowest final status", "HTTP/1.1 200 OK\r\n", 200),
+		Entry("highest status", "HTTP/1.1 599 Unusual\r\n", 599),
+		Entry("no reason", "HTTP/1.1 404\r\n", 404),
+		Entry("empty reason", "HTTP/1.1 404 \r\n", 404),
+		Entry("reason in UTF-8", "HTTP/1.1 404 n\u00e3o\r\n", 404),
+		Entry("earlier minor version", "HTTP/1.0 200 OK\r\n", 200),
+		Entry("after an interim response", "HTTP/1.1 103 Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK\r\n", 200),
+	)
+})
--- /dev/null
+++ b/pkg/upstream/responsehead.go
@@ -0,0 +1,108 @@
+package upstream
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+	"golang.org/x/net/http/httpguts"
+)
+
+// ErrMalformedResponse reports a response whose head is not that of an HTTP/1.1 or HTTP/1.0 response. Nothing that it states is used, and
+// the request may have been run.
+var ErrMalformedResponse = errors.New("malformed response")
+
+// malformedResponses is the number of responses that were rejected with ErrMalformedResponse.
+var malformedResponses = metrics.NewCounter(`hornbeamway_upstream_malformed_responses_total`)
+
+// readResponseHead reads the head of a response. All heads are checked here, before any of their values are used, because fasthttp
+// accepts malformed ones: it takes status 000 for 200.
+func readResponseHead(r *bufio.Reader, h *fasthttp.ResponseHeader) error {
+	err := awaitValidHead(r)
+	if err == nil {
+		// The whole head is in the buffer of r, so that an error is not one of the connection.
+		if err = h.Read(r); err != nil {
+			err = errors.Mark(err, ErrMalformedResponse)
+		}
+	}
+	if errors.Is(err, ErrMalformedResponse) {
+		malformedResponses.Inc()
+	}
+	return err
+}
+
+// awaitValidHead waits until the whole head of a response is in the buffer of r, and checks it. It reads nothing from r.
+func awaitValidHead(r *bufio.Reader) error {
+	var check headCheck
+	for {
+		head, _ := r.Peek(r.Buffered())
+		if complete, err := check.next(head); complete || err != nil {
+			return err
+		}
+		switch _, err := r.Peek(len(head) + 1); {
+		case errors.Is(err, bufio.ErrBufferFull):
+			return errors.Wrapf(ErrMalformedResponse, "the head is larger than %d bytes", r.Size())
+		case errors.Is(err, io.EOF) && len(head) > 0:
+			return io.ErrUnexpectedEOF
+		case err != nil:
+			return err
+		}
+	}
+}
+
+// headCheck checks the lines of a response head as they arrive.
+type headCheck struct {
+	// checked is the number of bytes of the lines that were checked.
+	checked int
+}
+
+// next checks the lines in head, which begins with the status line, that were not checked before. It reports whether head is complete.
+func (c *headCheck) next(head []byte) (complete bool, err error) {
+	for {
+		line, _, found := bytes.Cut(head[c.checked:], []byte("\n"))
+		if !found {
+			return false, nil
+		}
+		first := c.checked == 0
+		c.checked += len(line) + 1
+		line = bytes.TrimSuffix(line, []byte("\r"))
+		switch {
+		case first:
+			err = checkStatusLine(line)
+		case len(line) == 0:
+			return true, nil
+		}
+		if err != nil {
+			return false, err
+		}
+	}
+}
+
+// checkStatusLine checks the first line of a response (RFC 9112, section 4). The space before an empty reason may be missing.
+func checkStatusLine(line []byte) error {
+	version, rest, _ := bytes.Cut(line, []byte(" "))
+	status, reason, _ := bytes.Cut(rest, []byte(" "))
+	if !isSupportedVersion(version) || !isStatus(status) || !httpguts.ValidHeaderFieldValue(string(reason)) {
+		return errors.Wrapf(ErrMalformedResponse, "status line %q", truncateLine(line))
+	}
+	return nil
+}
+
+func isSupportedVersion(version []byte) bool {
+	return string(version) == "HTTP/1.1" || string(version) == "HTTP/1.0"
+}
+
+// isStatus reports whether status is a number from 100 to 599 (RFC 9110, section 15).
+func isStatus(status []byte) bool {
+	return len(status) == 3 && status[0] >= '1' && status[0] <= '5' && isDigit(status[1]) && isDigit(status[2])
+}
+
+func isDigit(b byte) bool { return b >= '0' && b <= '9' }
+
+// maxLoggedLine is the number of bytes of a malformed line that are included in an error.
+const maxLoggedLine = 64
+
+func truncateLine(line []byte) []byte { return line[:min(len(line), maxLoggedLine)] }
