upstream: a response without a length is not used after a failed write

Callers of long uploads got a part of a response as a complete one, with the status 200 and the server's signature: the server had answered at once without a length, sent a part of the body and reset the connection while the upload was being written.

Cause: the body of such a response ends with the connection, so that only the error of a read tells a reset from the end. The kernel reports a reset once, and here the pending write got it; the next read reports an orderly end. Trace on loopback, the same for a close with unread bytes: "write: connection reset by peer; read: 9 bytes, <nil>; next read: EOF".

Change: readBody, which early responses of streamed and buffered requests share, rejects a response whose body ends with the connection if a write to that connection has failed. The attempt fails with the error of the write and the reason: 502, outcome unknown. Responses with a length or in chunks show their own end and are still used, and so is one without a length whose server goes on reading the upload (spec). A refusal without a length on a lost connection is no longer believed either, like one that is cut short.

--- a/pkg/gateway/earlyrefusal_test.go
+++ b/pkg/gateway/earlyrefusal_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -79,4 +80,36 @@
 		Entry("after large chunks", 1, "POST", func() string { return large(chunks) }),
 		Entry("after large chunks and two refusals", 2, "POST", func() string { return large(chunks) }),
 	)
+
+	// Guards against a part of a response that reaches the caller as a whole one: its body ends with the connection, which is lost while
+	// the request is being sent.
+	DescribeTable("does not relay a response without a length whose connection is lost", func(path string, partSize int) {
+		reset := make(chan struct{})
+		b := startRawBackend(func(_ *backend, c net.Conn) {
+			defer close(reset)
+			defer c.Close()
+			req, err := http.ReadRequest(bufio.NewReader(c))
+			if err != nil {
+				return
+			}
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nProof: p\r\n\r\n%s", req.Header.Get("Id"), strings.Repeat("p", partSize))
+			time.Sleep(100 * time.Millisecond)
+			_ = c.(*net.TCPConn).SetLinger(0)
+		})
+		c := startGateway(b).dial()
+		body := strings.Repeat("x", largeRequest)
+		_, err := fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: h\r\nId: view\r\nWait: 2000\r\n"+length, path, len(body), body[:len(body)/2])
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(reset).Should(BeClosed())
+		// The gateway may close the connection before it has read the rest.
+		_, _ = io.WriteString(c, body[len(body)/2:])
+		a := c.receive()
+		Expect(a.err).NotTo(HaveOccurred())
+		Expect(a.StatusCode).To(Equal(502))
+		Expect(a.body).To(ContainSubstring(`"outcome":"unknown"`))
+	},
+		Entry("of an order", "/upload/", 4),
+		Entry("of an idempotent request", "/patient/", 4),
+		Entry("that is larger than what is buffered", "/upload/", 2<<20),
+	)
 })
--- a/pkg/upstream/earlyresponse.go
+++ b/pkg/upstream/earlyresponse.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"time"
-
-	"github.com/cockroachdb/errors"
 )
 
 // headReader reads the head of a response on a goroutine of its own while the request body is being written. The writer may wait for
@@ -98,12 +96,9 @@
 		return writeErr
 	}
 	<-head.done
-	x.conn.noReuse = true
-	if errors.Is(head.err, ErrMalformedResponse) {
-		return head.err
-	}
-	if head.err != nil || x.readBody(ctx) != nil {
+	x.conn.noReuse, x.writeFailed = true, true
+	if !head.hasFirstByte() {
 		return writeErr
 	}
-	return nil
+	return x.readEarlyBody(ctx, head.err, writeErr)
 }
--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -38,6 +38,8 @@
 	// uses at the same time.
 	isHead bool
 	stage  Stage
+	// writeFailed is set if the connection failed while the request was being written.
+	writeFailed bool
 	// responseComplete is set once the whole response was read and the connection may be released.
 	responseComplete bool
 }
@@ -118,14 +120,27 @@
 	if !x.mayHaveEarlyResponse(ctx, writeErr) {
 		return writeErr
 	}
-	x.conn.noReuse = true
+	x.conn.noReuse, x.writeFailed = true, true
 	if x.conn.SetDeadline(time.Now().Add(earlyResponseTimeout)) != nil {
 		return writeErr
 	}
-	if _, err := x.conn.reader.Peek(1); err != nil || x.readHead() != nil || x.readBody(ctx) != nil {
+	if _, err := x.conn.reader.Peek(1); err != nil {
 		return writeErr
 	}
-	return nil
+	return x.readEarlyBody(ctx, x.readHead(), writeErr)
+}
+
+// readEarlyBody reads the body of an early response whose head was read with headErr. If the response is not usable, it returns writeErr with
+// the reason.
+func (x *exchange) readEarlyBody(ctx context.Context, headErr, writeErr error) error {
+	err := headErr
+	if err == nil {
+		err = x.readBody(ctx)
+	}
+	if err == nil {
+		return nil
+	}
+	return errors.Wrapf(writeErr, "early response not used (%v)", err)
 }
 
 // mayHaveEarlyResponse reports whether the remote side may have responded before the write failed with writeErr: the connection failed
@@ -277,10 +292,16 @@
 		}
 		x.responseComplete = true
 		return nil
+	case length == identityBody && x.writeFailed:
+		return errEndUnknown
 	}
 	return x.streamBody(ctx, length)
 }
 
+// errEndUnknown reports a response whose body ends with its connection, after a write to that connection has failed. The kernel reports a
+// reset only once, which was to the writer; reads then end as if the server had closed the connection in an orderly way.
+var errEndUnknown = errors.New("a response without a length on a connection that was lost")
+
 func (x *exchange) hasNoBody() bool {
 	return x.resp.SkipBody || statusWithoutBody(x.resp.StatusCode())
 }
