upstream: reject a response with a malformed header field

Callers got responses in whose head a name held a blank: the line was relayed, or the body was not the server's. "Content Length: 2" and "Transfer Encoding: chunked" lost the length, so that the body went on to the end of the connection, chunk sizes included; so did a length or an encoding after a blank or a tab at the start of its line, which was joined to the value of the line before. A refusal or "leaving" in such a head was believed.

Cause: fasthttp keeps a name with a blank and removes one before the colon, joins folded lines, and accepts lines, and in some responses the head, that end with a bare line feed.

Change: readResponseHead, which all readers of the transport share, checks each line as it arrives: it ends with CR LF, the name is a token that the colon follows, the value has no control bytes. RFC 9112 section 5.2 lets a gateway answer 502 to a folded line. A head with a fault ends the attempt at that line.

Control bytes in names, except a tab at the start of a line, were rejected by fasthttp before; their specs stay.

--- a/pkg/gateway/malformed_test.go
+++ b/pkg/gateway/malformed_test.go
@@ -35,6 +35,13 @@
 		Entry("with a status above 599", "HTTP/1.1 600 X\r\n"+signed+"Content-Length: 2\r\n\r\n"),
 		Entry("with another version", "HTTP/2.0 200 OK\r\n"+signed+"Content-Length: 2\r\n\r\n"),
 		Entry("with a control byte in the reason", "HTTP/1.1 200 O\x00K\r\n"+signed+"Content-Length: 2\r\n\r\n"),
+		Entry("with a blank in a name", "HTTP/1.1 200 OK\r\n"+signed+"X A: 1\r\nContent-Length: 2\r\n\r\n"),
+		Entry("with a blank in the name of the length", "HTTP/1.1 200 OK\r\n"+signed+"Content Length: 2\r\n\r\n"),
+		Entry("with a blank in the name of the encoding", "HTTP/1.1 200 OK\r\n"+signed+"Transfer Encoding: chunked\r\n\r\n"),
+		Entry("with a blank before the colon", "HTTP/1.1 200 OK\r\n"+signed+"X-A : 1\r\nContent-Length: 2\r\n\r\n"),
+		Entry("with a blank before the name of the length", "HTTP/1.1 200 OK\r\n"+signed+"X-A: 1\r\n Content-Length: 2\r\n\r\n"),
+		Entry("with a control byte in a name", "HTTP/1.1 200 OK\r\n"+signed+"X\x01A: 1\r\nContent-Length: 2\r\n\r\n"),
+		Entry("with a refusal and a blank in a name", "HTTP/1.1 503 X\r\n"+signed+"Not-Run: 1\r\nX A: 1\r\nContent-Length: 2\r\n\r\n"),
 	}
 }
 
--- a/pkg/proxy/malformed_test.go
+++ b/pkg/proxy/malformed_test.go
@@ -25,6 +25,11 @@
 		Entry("status below 100", "HTTP/1.1 099 OK\r\n\r\nHTTP/1.1 200 OK\r\n"+end),
 		Entry("status above 599", "HTTP/1.1 600 OK\r\n"+end),
 		Entry("another version", "HTTP/2.0 200 OK\r\n"+end),
+		Entry("blank in a name", "HTTP/1.1 200 OK\r\nX A: 1\r\n"+end),
+		Entry("blank in the name of the length", "HTTP/1.1 200 OK\r\nContent Length: 2\r\n\r\nno"),
+		Entry("blank before the name of the length", "HTTP/1.1 200 OK\r\nX-A: 1\r\n Content-Length: 2\r\n\r\nno"),
+		Entry("control byte in a name", "HTTP/1.1 200 OK\r\nX\x01A: 1\r\n"+end),
+		Entry("refusal with a blank in a name", "HTTP/1.1 503 X\r\nHornbeamway-Not-Run: 1\r\nX A: 1\r\n"+end),
 	}
 }
 
--- a/pkg/upstream/responsehead.go
+++ b/pkg/upstream/responsehead.go
@@ -19,7 +19,7 @@
 var malformedResponses = metrics.NewCounter(`hornbeamway_upstream_malformed_responses_total`)
 
 // readResponseHead reads the head of a response. All heads are checked here, before any of their values are used, because fasthttp
-// accepts malformed ones: it takes status 000 for 200.
+// accepts malformed ones: it takes status 000 for 200, and names with blanks.
 func readResponseHead(r *bufio.Reader, h *fasthttp.ResponseHeader) error {
 	err := awaitValidHead(r)
 	if err == nil {
@@ -68,12 +68,16 @@
 		}
 		first := c.checked == 0
 		c.checked += len(line) + 1
-		line = bytes.TrimSuffix(line, []byte("\r"))
+		line, terminated := bytes.CutSuffix(line, []byte("\r"))
 		switch {
+		case !terminated:
+			err = malformed("line ends with a bare line feed", line)
 		case first:
 			err = checkStatusLine(line)
 		case len(line) == 0:
 			return true, nil
+		default:
+			err = checkField(line)
 		}
 		if err != nil {
 			return false, err
@@ -86,7 +90,17 @@
 	version, rest, _ := bytes.Cut(line, []byte(" "))
 	status, reason, _ := bytes.Cut(rest, []byte(" "))
 	if !isSupportedVersion(version) || !isStatus(status) || !httpguts.ValidHeaderFieldValue(string(reason)) {
-		return errors.Wrapf(ErrMalformedResponse, "status line %q", truncateLine(line))
+		return malformed("status line", line)
+	}
+	return nil
+}
+
+// checkField checks a header field (RFC 9112, section 5). A name with a blank is rejected, as is one that a blank precedes or follows: the
+// line would be relayed, or taken for the continuation of the one before it, so that a length or an encoding is lost.
+func checkField(line []byte) error {
+	name, value, found := bytes.Cut(line, []byte(":"))
+	if !found || !httpguts.ValidHeaderFieldName(string(name)) || !httpguts.ValidHeaderFieldValue(string(value)) {
+		return malformed("header field", line)
 	}
 	return nil
 }
@@ -105,4 +119,6 @@
 // maxLoggedLine is the number of bytes of a malformed line that are included in an error.
 const maxLoggedLine = 64
 
-func truncateLine(line []byte) []byte { return line[:min(len(line), maxLoggedLine)] }
+func malformed(fault string, line []byte) error {
+	return errors.Wrapf(ErrMalformedResponse, "%s: %q", fault, line[:min(len(line), maxLoggedLine)])
+}
