upstream: reject a response with two framings, or chunked in HTTP/1.0

Callers got chunk sizes as a part of the body of a response: a server had sent it in chunks with the version HTTP/1.0.

Cause: fasthttp ignores Transfer-Encoding in HTTP/1.0 and reads on to the end of the connection. Of a response with Content-Length and Transfer-Encoding it drops the length; another reader on the way may have used it.

Change: the check of the head rejects both (RFC 9112, section 6.1), as the ingress does for requests. Errors of fasthttp's own checks (two lengths, a signed one, another encoding) are now errors of type ErrMalformedResponse, too; they were rejected before.

--- a/pkg/gateway/malformed_test.go
+++ b/pkg/gateway/malformed_test.go
@@ -41,6 +41,8 @@
 		Entry("with a blank before the colon", "HTTP/1.1 200 OK\r\n"+signed+"X-A : 1\r\nContent-Length: 2\r\n\r\n"),
 		Entry("with a blank before the name of the length", "HTTP/1.1 200 OK\r\n"+signed+"X-A: 1\r\n Content-Length: 2\r\n\r\n"),
 		Entry("with a control byte in a name", "HTTP/1.1 200 OK\r\n"+signed+"X\x01A: 1\r\nContent-Length: 2\r\n\r\n"),
+		Entry("with a length and an encoding", "HTTP/1.1 200 OK\r\n"+signed+"Transfer-Encoding: chunked\r\nContent-Length: 2\r\n\r\n2\r\nok\r\n0\r\n\r\n"),
+		Entry("with an encoding of an earlier version", "HTTP/1.0 200 OK\r\n"+signed+"Transfer-Encoding: chunked\r\n\r\n"),
 		Entry("with a refusal and a blank in a name", "HTTP/1.1 503 X\r\n"+signed+"Not-Run: 1\r\nX A: 1\r\nContent-Length: 2\r\n\r\n"),
 	}
 }
--- a/pkg/proxy/malformed_test.go
+++ b/pkg/proxy/malformed_test.go
@@ -29,6 +29,8 @@
 		Entry("blank in the name of the length", "HTTP/1.1 200 OK\r\nContent Length: 2\r\n\r\nno"),
 		Entry("blank before the name of the length", "HTTP/1.1 200 OK\r\nX-A: 1\r\n Content-Length: 2\r\n\r\nno"),
 		Entry("control byte in a name", "HTTP/1.1 200 OK\r\nX\x01A: 1\r\n"+end),
+		Entry("length and encoding", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"+end),
+		Entry("encoding of an earlier version", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n"),
 		Entry("refusal with a blank in a name", "HTTP/1.1 503 X\r\nHornbeamway-Not-Run: 1\r\nX A: 1\r\n"+end),
 	}
 }
--- a/pkg/upstream/responsehead.go
+++ b/pkg/upstream/responsehead.go
@@ -19,13 +19,13 @@
 var malformedResponses = metrics.NewCounter(`hornbeamway_upstream_malformed_responses_total`)
 
 // readResponseHead reads the head of a response. All heads are checked here, before any of their values are used, because fasthttp
-// accepts malformed ones: it takes status 000 for 200, and names with blanks.
+// accepts malformed ones: it takes status 000 for 200, keeps names with blanks, and ignores an encoding in HTTP/1.0.
 func readResponseHead(r *bufio.Reader, h *fasthttp.ResponseHeader) error {
 	err := awaitValidHead(r)
 	if err == nil {
 		// The whole head is in the buffer of r, so that an error is not one of the connection.
 		if err = h.Read(r); err != nil {
-			err = errors.Mark(err, ErrMalformedResponse)
+			err = errors.Wrapf(ErrMalformedResponse, "%v", err)
 		}
 	}
 	if errors.Is(err, ErrMalformedResponse) {
@@ -57,6 +57,8 @@
 type headCheck struct {
 	// checked is the number of bytes of the lines that were checked.
 	checked int
+	// earlierVersion is true for HTTP/1.0, hasLength and hasEncoding if there is a Content-Length or a Transfer-Encoding.
+	earlierVersion, hasLength, hasEncoding bool
 }
 
 // next checks the lines in head, which begins with the status line, that were not checked before. It reports whether head is complete.
@@ -73,11 +75,12 @@
 		case !terminated:
 			err = malformed("line ends with a bare line feed", line)
 		case first:
+			c.earlierVersion = bytes.HasPrefix(line, []byte(earlierVersion))
 			err = checkStatusLine(line)
 		case len(line) == 0:
-			return true, nil
+			return true, c.checkFraming()
 		default:
-			err = checkField(line)
+			err = c.checkField(line)
 		}
 		if err != nil {
 			return false, err
@@ -97,16 +100,35 @@
 
 // checkField checks a header field (RFC 9112, section 5). A name with a blank is rejected, as is one that a blank precedes or follows: the
 // line would be relayed, or taken for the continuation of the one before it, so that a length or an encoding is lost.
-func checkField(line []byte) error {
+func (c *headCheck) checkField(line []byte) error {
 	name, value, found := bytes.Cut(line, []byte(":"))
 	if !found || !httpguts.ValidHeaderFieldName(string(name)) || !httpguts.ValidHeaderFieldValue(string(value)) {
 		return malformed("header field", line)
 	}
+	c.hasLength = c.hasLength || bytes.EqualFold(name, []byte(fasthttp.HeaderContentLength))
+	c.hasEncoding = c.hasEncoding || bytes.EqualFold(name, []byte(fasthttp.HeaderTransferEncoding))
 	return nil
 }
 
+// checkFraming rejects heads from which other servers would read a different body (RFC 9112, section 6.1).
+func (c *headCheck) checkFraming() error {
+	switch {
+	case c.hasEncoding && c.hasLength:
+		return errors.Wrap(ErrMalformedResponse, "both Transfer-Encoding and Content-Length")
+	case c.hasEncoding && c.earlierVersion:
+		return errors.Wrap(ErrMalformedResponse, "Transfer-Encoding in "+earlierVersion)
+	}
+	return nil
+}
+
+// The supported versions of the protocol.
+const (
+	currentVersion = "HTTP/1.1"
+	earlierVersion = "HTTP/1.0"
+)
+
 func isSupportedVersion(version []byte) bool {
-	return string(version) == "HTTP/1.1" || string(version) == "HTTP/1.0"
+	return string(version) == currentVersion || string(version) == earlierVersion
 }
 
 // isStatus reports whether status is a number from 100 to 599 (RFC 9110, section 15).
