upstream: relay responses of HTTP/1.0 with the version of this VM

Callers of a server that speaks HTTP/1.0 got the sizes of chunks as a part of the body, or waited for an end that did not come.

Cause: the status line was relayed with the version of the server. A response without a length is sent on in chunks, which HTTP/1.0 does not have, so that callers took the sizes for a part of the body. On the own form the connection stayed open, and the body had no end.

Change: the version of a final response is set to HTTP/1.1 when its head was read; it applies to one connection only (RFC 9110, section 2.5).

--- a/pkg/gateway/malformed_test.go
+++ b/pkg/gateway/malformed_test.go
@@ -127,5 +127,21 @@
 	}, malformedHeads())
 })
 
+var _ = Describe("Gateway with a server of HTTP/1.0", func() {
+	// Guards against a response with the server's version and the gateway's chunks, which HTTP/1.0 does not have: callers read the sizes of
+	// the chunks as a part of the body.
+	DescribeTable("relays its responses as HTTP/1.1", func(bodySize int) {
+		body := strings.Repeat("x", bodySize)
+		f := startGateway(startBackend(respondMalformed("HTTP/1.0 200 OK\r\nId: %s\r\nProof: p\r\n\r\n", body)))
+		a := f.roundTrip("GET", "/patient/", "view")
+		Expect(a.StatusCode).To(Equal(200))
+		Expect(a.Proto).To(Equal("HTTP/1.1"))
+		Expect(a.body == body).To(BeTrue(), "%d bytes", len(a.body))
+	},
+		Entry("from memory", 1000),
+		Entry("as a stream", 2<<20),
+	)
+})
+
 // readRequestHead reads the head of a request whose body can then be read.
 func readRequestHead(c net.Conn) (*http.Request, error) { return http.ReadRequest(bufio.NewReader(c)) }
--- a/pkg/proxy/malformed_test.go
+++ b/pkg/proxy/malformed_test.go
@@ -91,3 +91,15 @@
 		}
 	})
 })
+
+// Guards against a response with the server's version and the VM's chunks, which HTTP/1.0 does not have: callers read the sizes of the
+// chunks as a part of the body.
+var _ = DescribeTable("relays a response of HTTP/1.0 as HTTP/1.1", func(bodySize int) {
+	body := strings.Repeat("x", bodySize)
+	server := testsupport.StartRawServer(GinkgoTB(), "HTTP/1.0 200 OK\r\n\r\n"+body)
+	for _, v := range localAndForwarding(server.Address) {
+		resp := doRequest("GET", v.url("/view"), "", "X-Deadline-Ms", "2000")
+		Expect(resp.Proto).To(Equal("HTTP/1.1"))
+		Expect(readBody(resp) == body).To(BeTrue())
+	}
+}, Entry("of a small body", 10), Entry("of a large body", 100_000))
--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -274,6 +274,8 @@
 		case status == fasthttp.StatusSwitchingProtocols:
 			return ErrSwitchingProtocols
 		case status >= 200:
+			// The version applies to one connection only. With the server's, a caller would not understand the framing of a relayed response.
+			x.resp.Header.SetProtocol([]byte(currentVersion))
 			return nil
 		}
 	}
