upstream: reject a trailer whose name holds a blank

Callers got a line with a blank in its name after a body in chunks, or in the head if the body was buffered. It is the fault of names in the head at another place: fasthttp keeps such names in trailers, too, and they were copied to the response.

Change: the end of the body is an error if a name of a trailer is not a token, so that the response does not count as complete and the connection is closed. A blank before the colon is removed by fasthttp, as RFC 9112 section 5.1 asks of a gateway.

Measured: the spec "reports a malformed trailer" failed before for a blank in the name; the other entries passed before.

--- a/pkg/upstream/body.go
+++ b/pkg/upstream/body.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
+	"golang.org/x/net/http/httpguts"
 )
 
 // Body is a streamed response body. Close returns the connection to the idle connections if the body was read to the end,
@@ -76,16 +77,27 @@
 	if b.length >= 0 && b.remaining > 0 {
 		return io.ErrUnexpectedEOF
 	}
+	if trailerErr := b.copyTrailers(); trailerErr != nil {
+		return trailerErr
+	}
 	b.complete = true
-	b.copyTrailers()
 	return err
 }
 
-// copyTrailers copies the trailers, which follow the last chunk, to the headers of the caller's response.
-func (b *Body) copyTrailers() {
-	for _, key := range b.source.Header.PeekTrailerKeys() {
+// copyTrailers copies the trailers, which follow the last chunk, to the headers of the caller's response. fasthttp has checked their
+// values, but not that there is no blank in a name.
+func (b *Body) copyTrailers() error {
+	keys := b.source.Header.PeekTrailerKeys()
+	for _, key := range keys {
+		if !httpguts.ValidHeaderFieldName(string(key)) {
+			malformedResponses.Inc()
+			return malformed("trailer", key)
+		}
+	}
+	for _, key := range keys {
 		b.exchange.resp.Header.SetBytesKV(key, b.source.Header.PeekBytes(key))
 	}
+	return nil
 }
 
 // Close implements io.Closer.
--- a/pkg/upstream/malformed_test.go
+++ b/pkg/upstream/malformed_test.go
@@ -128,4 +128,17 @@
 		Entry("unusual names and values", "HTTP/1.1 200 OK\r\nx_a!#$%&'*+-.^`|~9:\t a\tb \xe9 \r\nX-Empty:\r\n", 200),
 		Entry("after an interim response", "HTTP/1.1 103 Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK\r\n", 200),
 	)
+
+	// Guards against a malformed field that reaches the caller after a body in chunks.
+	DescribeTable("reports a malformed trailer", func(trailer string) {
+		Expect(receive("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n"+trailer+"\r\n\r\n", false)).To(Succeed())
+		body, err := io.ReadAll(resp.BodyStream())
+		Expect(err).To(HaveOccurred(), "%q", body)
+		Expect(resp.CloseBodyStream()).To(Succeed())
+	},
+		Entry("with a blank in its name", "X A: 1"),
+		Entry("with a control byte in its name", "X\x01A: 1"),
+		Entry("with a control byte in its value", "X-A: \x01"),
+		Entry("without a colon", "X-A"),
+	)
 })
