--- a/pkg/admin/client.go
+++ b/pkg/admin/client.go
@@ -1,6 +1,7 @@
 package admin
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net/url"
@@ -11,6 +12,7 @@
 
 	"github.com/hornbeamway/hornbeamway/pkg/burn"
 	"github.com/hornbeamway/hornbeamway/pkg/preset"
+	"github.com/hornbeamway/hornbeamway/pkg/upstream"
 )
 
 // ErrUnreachable reports an entry VM whose administration API did not respond.
@@ -32,20 +34,23 @@
 
 // Client calls the administration API of one entry VM.
 type Client struct {
-	baseURL    string
+	address    string
 	credential string
 	timeout    time.Duration
-	http       fasthttp.Client
+	http       *upstream.Client
 }
 
 // NewClient returns a client for the API at address (IP and port).
 func NewClient(address, credential string) *Client {
 	return &Client{
-		baseURL: "http://" + address, credential: credential, timeout: clientTimeout,
-		http: fasthttp.Client{MaxIdemponentCallAttempts: 1},
+		address: address, credential: credential, timeout: clientTimeout,
+		http: upstream.NewClient(upstream.NewTransport(upstream.Options{}), maxResponseBytes),
 	}
 }
 
+// maxResponseBytes is the largest response in bytes.
+const maxResponseBytes = 64 << 20
+
 // WithTimeout sets the timeout of one request and returns the client. The default exceeds the server's timeout of a change.
 func (c *Client) WithTimeout(d time.Duration) *Client {
 	c.timeout = d
@@ -117,21 +122,23 @@
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
 	req.Header.SetMethod(method)
-	req.SetRequestURI(c.baseURL + path)
+	req.SetRequestURI("http://" + c.address + path)
 	req.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+c.credential)
 	req.SetBody(body)
-	if err := c.http.DoTimeout(req, resp, c.timeout); err != nil {
+	attempt := upstream.Attempt{Address: c.address, Idempotent: method == fasthttp.MethodGet, Deadline: time.Now().Add(c.timeout)}
+	data, err := c.http.Do(context.Background(), attempt, req, resp)
+	if err != nil {
 		return response, errors.Mark(err, ErrUnreachable)
 	}
 	if status := resp.StatusCode(); status >= fasthttp.StatusBadRequest {
 		statusErr := &StatusError{Status: status}
-		if json.Unmarshal(resp.Body(), &statusErr.Response) != nil {
-			statusErr.Response.Error = string(resp.Body())
+		if json.Unmarshal(data, &statusErr.Response) != nil {
+			statusErr.Response.Error = string(data)
 		}
 		return response, statusErr
 	}
-	if len(resp.Body()) == 0 {
+	if len(data) == 0 {
 		return response, nil
 	}
-	return response, errors.Wrap(json.Unmarshal(resp.Body(), &response), "decode response")
+	return response, errors.Wrap(json.Unmarshal(data, &response), "decode response")
 }
--- a/pkg/server/export_test.go
+++ b/pkg/server/export_test.go
@@ -1,6 +1,9 @@
 package server
 
-// ConnectionCap and ReplacementFactor export unexported names to the tests.
-var ConnectionCap = connectionCap
+// These names export unexported ones to the tests.
+var (
+	ConnectionCap = connectionCap
+	NewLoadProber = newLoadProber
+)
 
 const ReplacementFactor = replacementFactor
--- a/pkg/server/probing.go
+++ b/pkg/server/probing.go
@@ -12,6 +12,7 @@
 	"github.com/hornbeamway/hornbeamway/pkg/dispatch"
 	"github.com/hornbeamway/hornbeamway/pkg/measure"
 	"github.com/hornbeamway/hornbeamway/pkg/preset"
+	"github.com/hornbeamway/hornbeamway/pkg/upstream"
 )
 
 // newProbeRunner returns a runner that probes the backend servers of the pools that this VM dispatches.
@@ -19,10 +20,8 @@
 	inForce func() *preset.Effective,
 ) *measure.Runner {
 	return &measure.Runner{
-		Clock: c,
-		Prober: &loadProber{client: &fasthttp.Client{
-			MaxIdemponentCallAttempts: 1, MaxConnsPerHost: 1, MaxIdleConnDuration: probeIdleTimeout,
-		}},
+		Clock:   c,
+		Prober:  newLoadProber(),
 		Targets: func() []measure.Target { return probeTargets(registry, selector, inForce()) },
 		Report:  func(r measure.Report) { recordLoadReport(registry, r) },
 	}
@@ -69,7 +68,15 @@
 }
 
 // loadProber reads the load report of a backend server over HTTP.
-type loadProber struct{ client *fasthttp.Client }
+type loadProber struct{ client *upstream.Client }
+
+func newLoadProber() measure.Prober {
+	transport := upstream.NewTransport(upstream.Options{IdleTimeout: probeIdleTimeout, MaxConns: func(string) int { return 1 }})
+	return &loadProber{client: upstream.NewClient(transport, maxLoadReport)}
+}
+
+// maxLoadReport is the largest load report in bytes.
+const maxLoadReport = 64 << 10
 
 // loadResponse is the body of the response to GET /load.
 type loadResponse struct {
@@ -90,8 +97,8 @@
 	req.SetRequestURI("http://" + t.Address + "/load")
 	started := time.Now()
 	deadline, _ := ctx.Deadline()
-	err := p.client.DoDeadline(req, resp, deadline)
-	cost := measure.Cost{Time: time.Since(started), Bytes: probeHeaderSize + len(resp.Body())}
+	body, err := p.client.Do(ctx, upstream.Attempt{Address: t.Address, Idempotent: true, Deadline: deadline}, req, resp)
+	cost := measure.Cost{Time: time.Since(started), Bytes: probeHeaderSize + len(body)}
 	if err != nil {
 		return measure.Result{Cost: cost}, errors.Mark(err, errProbe)
 	}
@@ -99,7 +106,7 @@
 	if resp.StatusCode() != fasthttp.StatusOK {
 		return measure.Result{Cost: cost}, errors.Wrapf(errProbe, "status %d", resp.StatusCode())
 	}
-	if err := json.Unmarshal(resp.Body(), &load); err != nil {
+	if err := json.Unmarshal(body, &load); err != nil {
 		return measure.Result{Cost: cost}, errors.Mark(err, errProbe)
 	}
 	return measure.Result{
--- a/pkg/traffic/traffic.go
+++ b/pkg/traffic/traffic.go
@@ -3,13 +3,13 @@
 package traffic
 
 import (
+	"context"
 	"net"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/valyala/fasthttp"
 	"golang.org/x/sys/unix"
 )
 
@@ -68,11 +68,11 @@
 	return sent, received
 }
 
-// Dial connects to an address (IP and port) and counts the bytes of the connection. It is a fasthttp.DialFunc. TCP keep-alive
-// is off, because request timeouts detect dead connections.
-func (m *Meter) Dial(address string) (net.Conn, error) {
+// Dial connects to an address (IP and port) and counts the bytes of the connection. TCP keep-alive is off, because request
+// timeouts detect dead connections.
+func (m *Meter) Dial(ctx context.Context, address string) (net.Conn, error) {
 	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
-	raw, err := d.Dial("tcp", address)
+	raw, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
@@ -83,8 +83,6 @@
 	return c, nil
 }
 
-var _ fasthttp.DialFunc = (*Meter)(nil).Dial
-
 // conn is a connection with byte counters.
 type conn struct {
 	*net.TCPConn
--- a/pkg/traffic/traffic_test.go
+++ b/pkg/traffic/traffic_test.go
@@ -1,6 +1,7 @@
 package traffic_test
 
 import (
+	"context"
 	"io"
 	"net"
 	"testing"
@@ -29,7 +30,7 @@
 	}()
 	m := traffic.MeterFor("test")
 	Expect(traffic.MeterFor("test")).To(BeIdenticalTo(m))
-	c, err := m.Dial(l.Addr().String())
+	c, err := m.Dial(context.Background(), l.Addr().String())
 	Expect(err).NotTo(HaveOccurred())
 	_, err = c.Write(make([]byte, 1000))
 	Expect(err).NotTo(HaveOccurred())
--- a/pkg/upstream/host.go
+++ b/pkg/upstream/host.go
@@ -218,11 +218,11 @@
 	if c.reader.Buffered() > 0 {
 		return true
 	}
-	tcp, ok := c.Conn.(*net.TCPConn)
+	socket, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return false
 	}
-	raw, err := tcp.SyscallConn()
+	raw, err := socket.SyscallConn()
 	if err != nil {
 		return true
 	}
@@ -280,8 +280,12 @@
 }
 
 func (h *host) dial(ctx context.Context, deadline time.Time) (*conn, error) {
-	dialer := net.Dialer{Timeout: h.opts.DialTimeout, Deadline: deadline, Control: h.setUserTimeout}
-	c, err := dialer.DialContext(ctx, "tcp", h.address)
+	if !deadline.IsZero() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, deadline)
+		defer cancel()
+	}
+	c, err := h.opts.Dial(ctx, h.address)
 	if err != nil {
 		return nil, err
 	}
@@ -291,16 +295,6 @@
 	return wrapped, nil
 }
 
-// setUserTimeout sets TCP_USER_TIMEOUT, so that the kernel closes a connection whose remote side stops acknowledging data
-// instead of retransmitting for minutes.
-func (h *host) setUserTimeout(_, _ string, raw syscall.RawConn) error {
-	var setErr error
-	err := raw.Control(func(fd uintptr) {
-		setErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(h.opts.UserTimeout.Milliseconds()))
-	})
-	return errors.CombineErrors(err, setErr)
-}
-
 // put adds a connection whose response was read to the end to the idle connections. It leaves the socket's deadline unchanged,
 // because the next attempt sets its own.
 func (h *host) put(c *conn) {
--- a/pkg/upstream/transport.go
+++ b/pkg/upstream/transport.go
@@ -7,11 +7,14 @@
 
 import (
 	"context"
+	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
+	"golang.org/x/sys/unix"
 
 	"github.com/hornbeamway/hornbeamway/pkg/clock"
 )
@@ -30,6 +33,8 @@
 type Options struct {
 	// Clock is the source of time. Default: the system clock.
 	Clock clock.Clock
+	// Dial opens a connection to an address. Default: TCP, with DialTimeout and UserTimeout.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// DialTimeout limits the time for opening a connection. Default 1s.
 	DialTimeout time.Duration
 	// IdleTimeout is the time after which an unused connection is closed. Default 10s.
@@ -75,11 +80,27 @@
 			*d.field = d.value
 		}
 	}
+	if o.Dial == nil {
+		o.Dial = o.dialTCP
+	}
 	if o.NewConnBurst == 0 {
 		o.NewConnBurst = defaultNewConnBurst
 	}
 }
 
+// dialTCP is the default of Dial. It sets TCP_USER_TIMEOUT, so that the kernel closes a connection whose remote side stops acknowledging
+// data instead of retransmitting for minutes.
+func (o *Options) dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: o.DialTimeout, Control: func(_, _ string, raw syscall.RawConn) error {
+		var setErr error
+		err := raw.Control(func(fd uintptr) {
+			setErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(o.UserTimeout.Milliseconds()))
+		})
+		return errors.CombineErrors(err, setErr)
+	}}
+	return dialer.DialContext(ctx, "tcp", address)
+}
+
 // Attempt describes one try of a request.
 type Attempt struct {
 	// Address is the IP and port to send to.
@@ -125,8 +146,9 @@
 
 // NewTransport returns a Transport with the given options; zero values are replaced by the defaults.
 func NewTransport(opts Options) *Transport {
-	opts.setDefaults()
-	return &Transport{opts: opts, hosts: map[string]*host{}}
+	t := &Transport{opts: opts, hosts: map[string]*host{}}
+	t.opts.setDefaults()
+	return t
 }
 
 // RoundTrip sends req and reads the response into resp. A body of more than maxBufferedBody bytes, or of unknown length, is set
--- a/pkg/vmlist/list.go
+++ b/pkg/vmlist/list.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/hornbeamway/hornbeamway/pkg/traffic"
+	"github.com/hornbeamway/hornbeamway/pkg/upstream"
 )
 
 // ErrUnavailable reports that the list service did not return a valid list.
@@ -61,18 +62,21 @@
 
 // Client reads the list over HTTP. It is not safe for concurrent use.
 type Client struct {
-	url  string
-	http *fasthttp.Client
-	etag string // ETag of last
-	last []VM   // last list received
+	address string
+	http    *upstream.Client
+	etag    string // ETag of last
+	last    []VM   // last list received
 }
 
 // NewClient returns a client of the list service at address, which is an IP and port.
 func NewClient(address string) *Client {
-	return &Client{url: "http://" + address + "/vms",
-		http: &fasthttp.Client{Dial: traffic.MeterFor("vmlist").Dial, NoDefaultUserAgentHeader: true}}
+	transport := upstream.NewTransport(upstream.Options{Dial: traffic.MeterFor("vmlist").Dial})
+	return &Client{address: address, http: upstream.NewClient(transport, maxListBytes)}
 }
 
+// maxListBytes is the largest list in bytes. An entry takes about 250 bytes.
+const maxListBytes = 8 << 20
+
 // listBody is the body of a response of the list service.
 type listBody struct {
 	VMs []VM `json:"vms"`
@@ -80,15 +84,17 @@
 
 // Get implements List. It sends the ETag of the last list, so that the response for an unchanged list has no body. On an
 // error it returns the last list.
-func (c *Client) Get(context.Context) ([]VM, bool, error) {
+func (c *Client) Get(ctx context.Context) ([]VM, bool, error) {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
-	req.SetRequestURI(c.url)
+	req.SetRequestURI("http://" + c.address + "/vms")
 	if c.etag != "" {
 		req.Header.Set(fasthttp.HeaderIfNoneMatch, c.etag)
 	}
-	if err := c.http.DoTimeout(req, resp, requestTimeout); err != nil {
+	attempt := upstream.Attempt{Address: c.address, Idempotent: true, Deadline: time.Now().Add(requestTimeout)}
+	data, err := c.http.Do(ctx, attempt, req, resp)
+	if err != nil {
 		return c.last, false, errors.Wrapf(ErrUnavailable, "%v", err)
 	}
 	switch resp.StatusCode() {
@@ -99,7 +105,7 @@
 		return c.last, false, errors.Wrapf(ErrUnavailable, "unexpected HTTP status %d", resp.StatusCode())
 	}
 	var body listBody
-	if err := json.Unmarshal(resp.Body(), &body); err != nil {
+	if err := json.Unmarshal(data, &body); err != nil {
 		return c.last, false, errors.Wrapf(ErrUnavailable, "failed to decode the response: %v", err)
 	}
 	c.etag, c.last = string(resp.Header.Peek(fasthttp.HeaderETag)), body.VMs
