proxy: a refusal of another entry VM is checked before it is believed

Own form: the caller of an operation got a success, status 200, when another entry VM answered with a refusal whose problem had no status; one without a known outcome reached the caller as it was.

Cause: decodeRefusal checked that the body was JSON, and no more. A status of 0 is sent as 200.

Change: a refusal has the status of its response, which is an error, and states the outcomes of the operation and of the attempt with a known value. Any other is answered 502 with an unknown outcome, and the call counts as possibly run.

--- a/pkg/problem/problem.go
+++ b/pkg/problem/problem.go
@@ -22,6 +22,9 @@
 	Unknown Outcome = "unknown"
 )
 
+// Valid reports whether o is one of the outcomes.
+func (o Outcome) Valid() bool { return o == NotRun || o == Unknown }
+
 // Reason is a stable, machine-readable cause of an error. It is used in responses, metrics and logs.
 type Reason string
 
--- a/pkg/proxy/forward.go
+++ b/pkg/proxy/forward.go
@@ -130,10 +130,10 @@
 	return load, true
 }
 
-// decodeRefusal decodes the problem with which another entry VM refused the call.
+// decodeRefusal decodes the problem with which another entry VM refused the call. The call may have been run if the problem is not valid.
 func decodeRefusal(resp *fasthttp.Response) *problem.Problem {
 	refusal := &problem.Problem{}
-	if err := json.Unmarshal(resp.Body(), refusal); err != nil {
+	if err := json.Unmarshal(resp.Body(), refusal); err != nil || !isRefusal(refusal, resp.StatusCode()) {
 		return problem.New(fasthttp.StatusBadGateway, problem.Unknown, problem.ReasonUpstream, "unreadable refusal of another entry VM")
 	}
 	if seconds, err := strconv.Atoi(string(resp.Header.Peek(fasthttp.HeaderRetryAfter))); err == nil {
@@ -142,6 +142,11 @@
 	return refusal
 }
 
+// isRefusal reports whether p is the problem of a response with an error status and states the outcome.
+func isRefusal(p *problem.Problem, status int) bool {
+	return p.Status == status && status >= fasthttp.StatusBadRequest && p.Outcome.Valid() && p.Attempt.Valid()
+}
+
 // serveForwarded handles requests on the forward address.
 func (p *Proxy) serveForwarded(ctx *fasthttp.RequestCtx) {
 	p.beginRequest()
--- a/pkg/proxy/malformed_test.go
+++ b/pkg/proxy/malformed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -62,6 +63,26 @@
 		}
 	}, malformedResponses())
 
+	// Guards against a refusal of another entry VM that reaches the caller as a success, or as "not run" although it does not state that.
+	DescribeTable("refusals of other entry VMs are not believed", func(refusal string) {
+		dispatcher := testsupport.StartRawServer(GinkgoTB(),
+			fmt.Sprintf("HTTP/1.1 503 X\r\nHornbeamway-Refused: 1\r\nContent-Length: %d\r\n\r\n%s", len(refusal), refusal))
+		v := newVM(GinkgoTB(), "e1", nil, func(o *proxy.Options) {
+			o.Placement = &fakePlacement{targets: []proxy.Target{{Pool: testPool, DispatcherID: "e2", ForwardAddress: dispatcher.Address}}}
+		})
+		p := readProblem(doRequest("POST", v.url("/orders"), "", "Idempotency-Key", "k"))
+		Expect(p.Status).To(Equal(502))
+		Expect(p.Outcome).To(Equal(problem.Unknown))
+	},
+		Entry("without any field", `{}`),
+		Entry("that are null", `null`),
+		Entry("with the status of a success", `{"status":200,"outcome":"not_run","attempt":"not_run"}`),
+		Entry("with another status than the response", `{"status":504,"outcome":"not_run","attempt":"not_run"}`),
+		Entry("without an outcome", `{"status":503,"attempt":"not_run"}`),
+		Entry("with an unknown outcome of the attempt", `{"status":503,"outcome":"not_run","attempt":"perhaps"}`),
+		Entry("cut short", `{"status":503,"outcome":"not_run","attem`),
+	)
+
 	// Guards against a part of a response that reaches the caller as a whole one: its body ends with the connection, which is lost while
 	// the request is being sent.
 	It("without a length are not relayed if the connection is lost during the upload", func() {
