soak: servers whose responses have a malformed head

The soak played cut heads and bodies, surplus and unsigned responses, but no head that is whole and wrong, so that it could not find the faults of this incident.

Change: the stand-in of a backend server has the fault MalformedHead with six heads (status 000, with and without "not run", a blank in the name of the length or of another field, a folded length, chunks in HTTP/1.0). The request has run.

--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -135,7 +135,7 @@
 		}
 		s.SetFaults([]platformserver.Faults{{Slowdown: 5}, {DropResponse: 0.3}, {TruncateResponse: 0.3}, {DuplicateResponse: 0.3},
 			{Unsigned: 0.3}, {Failed: 0.5}, {RefuseBeforeBody: 0.5}, {Hang: true}, {Refuse: 0.3, DuplicateRefusal: 0.5},
-			{TruncateHead: 0.3}}[draw/victimRange%10])
+			{TruncateHead: 0.3, MalformedHead: 0.3}}[draw/victimRange%10])
 		pause.Sleep(ctx, 3*time.Second)
 		s.SetFaults(platformserver.Faults{})
 	}},
--- a/internal/standin/platformserver/faults.go
+++ b/internal/standin/platformserver/faults.go
@@ -13,6 +13,8 @@
 	DropResponse float64
 	// TruncateHead closes the connection within the head of the response, TruncateResponse within its body.
 	TruncateHead, TruncateResponse float64
+	// MalformedHead responds with a head that is not HTTP/1.1.
+	MalformedHead float64
 	// DuplicateResponse responds twice, the second time up to maxResponseCopyDelay later.
 	DuplicateResponse float64
 	// Unsigned omits the signature.
--- a/internal/standin/platformserver/response.go
+++ b/internal/standin/platformserver/response.go
@@ -31,6 +31,16 @@
 	truncatedLength = 900
 )
 
+// malformedHeads are the beginnings of malformed responses. Some of them state that the request was not run, which it was.
+var malformedHeads = []string{
+	"HTTP/1.1 000 OK\r\nContent-Length: 9\r\n",
+	"HTTP/1.1 000 OK\r\n" + HeaderNotRun + ": 1\r\nContent-Length: 9\r\n",
+	"HTTP/1.1 200 OK\r\nContent Length: 9\r\n",
+	"HTTP/1.1 503 Busy\r\n" + HeaderNotRun + ": 1\r\nX Blank: 1\r\nContent-Length: 9\r\n",
+	"HTTP/1.1 200 OK\r\nX-Folded: 1\r\n Content-Length: 9\r\n",
+	"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n",
+}
+
 // ResponseBody returns the response body of a request, which depends on the service and the request ID.
 func ResponseBody(service, requestID string) string {
 	text := service + " " + requestID + " "
@@ -94,6 +104,10 @@
 			signatureHeader, truncatedLength)
 		_, _ = io.WriteString(w.conn, head[:rand.IntN(len(head))])
 		return false
+	case rand.Float64() < f.MalformedHead:
+		malformed := malformedHeads[rand.IntN(len(malformedHeads))]
+		_, _ = fmt.Fprintf(w.conn, malformed+"%s: %s\r\n%s\r\n\r\nmalformed", HeaderRequestID, id, signatureHeader)
+		return false
 	case draw < f.DropResponse+f.TruncateResponse:
 		_, _ = fmt.Fprintf(w.conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n%s: %s\r\n%s\r\n\r\nhalf",
 			truncatedLength, HeaderRequestID, id, signatureHeader)
