--- a/pkg/upstream/responsehead.go
+++ b/pkg/upstream/responsehead.go
@@ -110,7 +110,7 @@
 	return nil
 }
 
-// checkFraming rejects heads from which other servers would read a different body (RFC 9112, section 6.1).
+// checkFraming rejects heads of which two readers may derive different bodies (RFC 9112, section 6.1).
 func (c *headCheck) checkFraming() error {
 	switch {
 	case c.hasEncoding && c.hasLength:
