--- a/pkg/upstream/closedelimited_test.go
+++ b/pkg/upstream/closedelimited_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -59,6 +60,22 @@
 		Entry("by a close with unread bytes, body in memory", "HTTP/1.1 200 OK\r\n", false, false),
 	)
 
+	// Guards against a part of a response that is taken for the whole after its request was sent to its end.
+	It("reports a reset that follows the upload", func() {
+		s := serveUploads(func(req *http.Request, c net.Conn) bool {
+			_, _ = io.Copy(io.Discard, req.Body)
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\npart")
+			time.Sleep(pause)
+			_ = c.(*net.TCPConn).SetLinger(0)
+			return false
+		})
+		Expect(upload(s, true)).To(Succeed())
+		_, err := io.ReadAll(resp.BodyStream())
+		Expect(err).To(MatchError(syscall.ECONNRESET))
+		Expect(resp.CloseBodyStream()).To(Succeed())
+		Expect(transport.OpenConnections(s.address)).To(BeZero())
+	})
+
 	// Guards against a whole response that is rejected although the upload was sent to its end.
 	DescribeTable("returns it when the server goes on reading", func(streamed bool) {
 		s := serveUploads(func(req *http.Request, c net.Conn) bool {
