--- /dev/null
+++ b/pkg/upstream/export_test.go
@@ -0,0 +1,4 @@
+package upstream
+
+// ReadResponseHead exports an unexported function to the tests.
+var ReadResponseHead = readResponseHead
