gateway, proxy: clearer names in the specs of malformed responses

respondMalformed also sent valid heads of HTTP/1.0 and is respondRaw now; the set-up of a VM that forwards to a given address stood twice; the spec of a large response without a length no longer depends on what the socket buffers hold. No check, bound or entry changes.

--- a/pkg/gateway/earlyrefusal_test.go
+++ b/pkg/gateway/earlyrefusal_test.go
@@ -92,6 +92,8 @@
 			if err != nil {
 				return
 			}
+			// The gateway does not read the body yet, which may be larger than the socket buffers.
+			_ = c.SetWriteDeadline(time.Now().Add(200 * time.Millisecond))
 			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nProof: p\r\n\r\n%s", req.Header.Get("Id"), strings.Repeat("p", partSize))
 			time.Sleep(100 * time.Millisecond)
 			_ = c.(*net.TCPConn).SetLinger(0)
--- a/pkg/gateway/malformed_test.go
+++ b/pkg/gateway/malformed_test.go
@@ -15,9 +15,9 @@
 	"github.com/hornbeamway/hornbeamway/pkg/balance"
 )
 
-// respondMalformed returns a server that sends a signed response with a head in which %s stands for the id of the request. The server
-// has run the request.
-func respondMalformed(head string, body string) func(*receivedRequest, net.Conn) bool {
+// respondRaw returns a server that runs each request, sends a head, in which %s stands for the id of the request, and a body, and closes the
+// connection.
+func respondRaw(head, body string) func(*receivedRequest, net.Conn) bool {
 	return func(r *receivedRequest, c net.Conn) bool {
 		_, _ = io.WriteString(c, strings.ReplaceAll(head, "%s", r.Header.Get("Id"))+body)
 		return false
@@ -61,7 +61,7 @@
 	// because a malformed response states that it was refused.
 	DescribeTable("reports an unknown outcome and believes nothing of it", func(head string) {
 		for _, path := range []string{"/once/", "/bulk/", "/patient/"} {
-			first, second := startBackend(respondMalformed(head, body)), startBackend(respondCorrectly)
+			first, second := startBackend(respondRaw(head, body)), startBackend(respondCorrectly)
 			f := startGateway(first, second)
 			expectFailed(f.roundTrip("GET", path, "order"))
 			Expect(first.count()).To(Equal(1), path)
@@ -73,7 +73,7 @@
 
 	// Guards against a malformed response that reaches the caller in place of that of another server.
 	DescribeTable("sends an idempotent request to another server", func(head string) {
-		first, second := startBackend(respondMalformed(head, body)), startBackend(respondCorrectly)
+		first, second := startBackend(respondRaw(head, body)), startBackend(respondCorrectly)
 		a := startGateway(first, second).roundTrip("GET", "/safe/", "view")
 		Expect(a.StatusCode).To(Equal(200))
 		Expect(a.body).To(Equal("answer to view"))
@@ -89,7 +89,7 @@
 		})
 		second := startBackend(func(r *receivedRequest, c net.Conn) bool {
 			defer close(hedged)
-			return respondMalformed(head, body)(r, c)
+			return respondRaw(head, body)(r, c)
 		})
 		a := startGateway(first, second).roundTrip("GET", "/safe/", "view")
 		Expect(a.StatusCode).To(Equal(200))
@@ -122,7 +122,7 @@
 	DescribeTable("reports an unknown outcome of a large response", func(head string) {
 		const bodySize = 2 << 20
 		head = strings.ReplaceAll(head, "Content-Length: 2\r\n", fmt.Sprintf("Content-Length: %d\r\n", bodySize))
-		f := startGateway(startBackend(respondMalformed(head, strings.Repeat("x", bodySize))))
+		f := startGateway(startBackend(respondRaw(head, strings.Repeat("x", bodySize))))
 		expectFailed(f.roundTrip("GET", "/patient/", "download"))
 	}, malformedHeads())
 })
@@ -132,7 +132,7 @@
 	// the chunks as a part of the body.
 	DescribeTable("relays its responses as HTTP/1.1", func(bodySize int) {
 		body := strings.Repeat("x", bodySize)
-		f := startGateway(startBackend(respondMalformed("HTTP/1.0 200 OK\r\nId: %s\r\nProof: p\r\n\r\n", body)))
+		f := startGateway(startBackend(respondRaw("HTTP/1.0 200 OK\r\nId: %s\r\nProof: p\r\n\r\n", body)))
 		a := f.roundTrip("GET", "/patient/", "view")
 		Expect(a.StatusCode).To(Equal(200))
 		Expect(a.Proto).To(Equal("HTTP/1.1"))
--- a/pkg/proxy/malformed_test.go
+++ b/pkg/proxy/malformed_test.go
@@ -36,6 +36,13 @@
 	}
 }
 
+// forwardingTo returns an entry VM that forwards its calls to another one at an address.
+func forwardingTo(address string) *vm {
+	return newVM(GinkgoTB(), "e1", nil, func(o *proxy.Options) {
+		o.Placement = &fakePlacement{targets: []proxy.Target{{Pool: testPool, DispatcherID: "e2", ForwardAddress: address}}}
+	})
+}
+
 var _ = Describe("malformed responses", func() {
 	// Guards against a malformed response of a server that reaches the caller, and against an operation that runs twice, or is reported
 	// as not run, because a malformed response states that it was refused.
@@ -52,10 +59,7 @@
 
 	// Guards against a malformed response of another entry VM that reaches the caller.
 	DescribeTable("of other entry VMs are never relayed", func(response string) {
-		dispatcher := testsupport.StartRawServer(GinkgoTB(), response)
-		v := newVM(GinkgoTB(), "e1", nil, func(o *proxy.Options) {
-			o.Placement = &fakePlacement{targets: []proxy.Target{{Pool: testPool, DispatcherID: "e2", ForwardAddress: dispatcher.Address}}}
-		})
+		v := forwardingTo(testsupport.StartRawServer(GinkgoTB(), response).Address)
 		for _, request := range [][2]string{{"GET", "/view"}, {"POST", "/orders"}} {
 			p := readProblem(doRequest(request[0], v.url(request[1]), "", "Idempotency-Key", "k"))
 			Expect(p.Status).To(Equal(502))
@@ -67,10 +71,7 @@
 	DescribeTable("refusals of other entry VMs are not believed", func(refusal string) {
 		dispatcher := testsupport.StartRawServer(GinkgoTB(),
 			fmt.Sprintf("HTTP/1.1 503 X\r\nHornbeamway-Refused: 1\r\nContent-Length: %d\r\n\r\n%s", len(refusal), refusal))
-		v := newVM(GinkgoTB(), "e1", nil, func(o *proxy.Options) {
-			o.Placement = &fakePlacement{targets: []proxy.Target{{Pool: testPool, DispatcherID: "e2", ForwardAddress: dispatcher.Address}}}
-		})
-		p := readProblem(doRequest("POST", v.url("/orders"), "", "Idempotency-Key", "k"))
+		p := readProblem(doRequest("POST", forwardingTo(dispatcher.Address).url("/orders"), "", "Idempotency-Key", "k"))
 		Expect(p.Status).To(Equal(502))
 		Expect(p.Outcome).To(Equal(problem.Unknown))
 	},
